--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+USERS ?= prairie
+
+.PHONY: demo test lint generate check build measure measure-slopes models matrix clean
+
+build: dist/lycheepin
+
+$(VENV)/ready: requirements-dev.lock
+	@command -v $(PYTHON) >/dev/null || { echo "missing: $(PYTHON) (set PYTHON=...)"; exit 1; }
+	@$(PYTHON) -c 'import sys, venv; sys.exit(sys.version_info[:2] < (3, 11))' || { echo "missing: Python 3.11 with venv"; exit 1; }
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install -q --require-hashes -r requirements-dev.lock
+	@touch $@
+
+dist/lycheepin: $(VENV)/ready requirements.lock pyproject.toml $(shell find lycheepin -name '*.py')
+	@mkdir -p build/site dist
+	@rm -rf build/site build/lib
+	$(BIN)/pip install -q --require-hashes --no-deps -r requirements.lock --target build/site
+	cp -r lycheepin build/site/
+	$(BIN)/shiv --site-packages build/site --reproducible -e lycheepin.cli.commands:main -p '/usr/bin/env python3' -o $@
+
+demo: dist/lycheepin
+	@dist/lycheepin version
+	@$(BIN)/python -m standins.demo $(USERS)
+
+generate: $(VENV)/ready
+	$(BIN)/python tools/generate.py
+
+test: $(VENV)/ready
+	$(BIN)/python -m tools.run_tests
+
+lint: $(VENV)/ready
+	$(BIN)/black -q --check lycheepin standins tools tests
+	$(BIN)/ruff check -q lycheepin standins tools tests
+	$(BIN)/mypy
+	$(BIN)/python tools/generate.py --check
--- /dev/null
+++ b/lycheepin/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line."""
--- /dev/null
+++ b/lycheepin/clocks.py
@@ -0,0 +1,64 @@
+"""Time: an interface to pass clocks in, and a hybrid logical clock for event stamps."""
+
+from __future__ import annotations
+
+import time
+from typing import Protocol
+
+__all__ = ["Clock", "HybridClock", "Stamp", "SystemClock", "format_stamp"]
+
+Stamp = int
+
+_COUNTER_BITS = 16
+_COUNTER_MASK = (1 << _COUNTER_BITS) - 1
+_MS_PER_S = 1000
+
+
+class Clock(Protocol):
+    """Source of time."""
+
+    def monotonic(self) -> float:
+        """Returns seconds that never go back."""
+
+    def wall_ms(self) -> int:
+        """Returns milliseconds since the epoch."""
+
+
+class SystemClock:
+    """The machine's clocks; wall time is read once and then advanced monotonically."""
+
+    def __init__(self) -> None:
+        self._offset_s = time.time() - time.monotonic()
+
+    def monotonic(self) -> float:
+        """Returns the machine's monotonic time in seconds."""
+        return time.monotonic()
+
+    def wall_ms(self) -> int:
+        """Returns wall time in milliseconds; it never goes back within a process."""
+        return int((self._offset_s + time.monotonic()) * _MS_PER_S)
+
+
+class HybridClock:
+    """Hybrid logical clock: 48 bits of milliseconds and a 16 bit counter in one integer."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._last: Stamp = 0
+
+    def stamp(self) -> Stamp:
+        """Returns a stamp later than all returned or observed before."""
+        self._last = max(self._last + 1, self._clock.wall_ms() << _COUNTER_BITS)
+        return self._last
+
+    def observe(self, stamp: Stamp) -> None:
+        """Moves past a stamp received from another process."""
+        self._last = max(self._last, stamp)
+
+
+def format_stamp(stamp: Stamp) -> str:
+    """Returns a stamp as UTC time with milliseconds and counter."""
+    wall_ms = stamp >> _COUNTER_BITS
+    seconds, milliseconds = divmod(wall_ms, _MS_PER_S)
+    text = time.strftime("%H:%M:%S", time.gmtime(seconds))
+    return f"{text}.{milliseconds:03d}+{stamp & _COUNTER_MASK}"
--- /dev/null
+++ b/lycheepin/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""How daemons know each other and share documents."""
--- /dev/null
+++ b/lycheepin/cluster/documents.py
@@ -0,0 +1,148 @@
+"""Documents that every daemon of a cell, or every daemon, holds a copy of.
+
+A copy is replaced only by a higher revision. A new revision spreads down a tree that each daemon
+computes by itself from the members; whoever is missed hears of the revision on a heartbeat and
+fetches it.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import zlib
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from lycheepin.generated.messages import DocumentVersion
+from lycheepin.names import Address, RegionName, Revision
+
+__all__ = [
+    "CONFIGURATION",
+    "Copy",
+    "Replicas",
+    "Scope",
+    "choose_watchers",
+    "compress",
+    "decompress",
+    "plan_document",
+    "relay_targets",
+    "scope_of",
+    "vms_document",
+]
+
+CONFIGURATION = "config"
+FAN_OUT = 4
+MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
+
+
+class Scope(Enum):
+    """Which daemons hold a document."""
+
+    EVERYWHERE = "everywhere"
+    CELL = "cell"
+
+
+def plan_document(region: RegionName) -> str:
+    """Returns the name of the plan of a cell."""
+    return f"plan/{region}"
+
+
+def vms_document(region: RegionName) -> str:
+    """Returns the name of the VM list as held by a cell."""
+    return f"vms/{region}"
+
+
+def scope_of(name: str) -> Scope:
+    """Returns which daemons hold a document."""
+    return Scope.EVERYWHERE if name == CONFIGURATION else Scope.CELL
+
+
+def compress(content: bytes) -> bytes:
+    """Returns content as sent between daemons."""
+    return zlib.compress(content, level=6)
+
+
+def decompress(content: bytes) -> bytes:
+    """Returns the content sent by another daemon; raises ValueError when it is broken."""
+    decompressor = zlib.decompressobj()
+    try:
+        plain = decompressor.decompress(content, MAX_DOCUMENT_BYTES)
+    except zlib.error as error:
+        raise ValueError(f"broken document: {error}") from error
+    if not decompressor.eof:
+        raise ValueError(f"document cut short or over {MAX_DOCUMENT_BYTES} bytes")
+    return plain
+
+
+@dataclass(frozen=True)
+class Copy:
+    """One revision of a document."""
+
+    name: str
+    revision: Revision
+    content: bytes
+
+
+class Replicas:
+    """The copies that one daemon holds."""
+
+    def __init__(self, names: Iterable[str]) -> None:
+        self._names = frozenset(names)
+        self._copies: dict[str, Copy] = {}
+
+    def get(self, name: str) -> Copy | None:
+        """Returns the copy of a document, or None."""
+        return self._copies.get(name)
+
+    def revision(self, name: str) -> Revision:
+        """Returns the revision held; 0 when there is no copy."""
+        copy = self._copies.get(name)
+        return copy.revision if copy is not None else Revision(0)
+
+    def accept(self, copy: Copy) -> bool:
+        """Replaces a copy by one with a higher revision; returns whether it did."""
+        if copy.name not in self._names or copy.revision <= self.revision(copy.name):
+            return False
+        self._copies[copy.name] = copy
+        return True
+
+    def versions(self) -> list[DocumentVersion]:
+        """Returns what is held, for heartbeats."""
+        return [DocumentVersion(copy.name, copy.revision) for copy in self._copies.values()]
+
+    def missing(self, versions: Iterable[DocumentVersion]) -> list[str]:
+        """Returns the documents of which a peer holds a higher revision."""
+        return [
+            version.name
+            for version in versions
+            if version.name in self._names and version.revision > self.revision(version.name)
+        ]
+
+
+def relay_targets(
+    copy_name: str,
+    revision: Revision,
+    own: Address,
+    members: Sequence[Address],
+    is_origin: bool,
+) -> list[Address]:
+    """Returns the members to which this daemon passes a new revision on.
+
+    All daemons that know the same members compute the same tree. Its order differs for each
+    revision, so that the work of passing on is spread.
+    """
+    ordered = sorted({*members, own}, key=lambda a: _digest(f"{copy_name}:{revision}:{a}"))
+    if is_origin:
+        return [address for address in ordered[:FAN_OUT] if address != own]
+    first = (ordered.index(own) + 1) * FAN_OUT
+    return ordered[first : first + FAN_OUT]
+
+
+def choose_watchers(members: Iterable[Address], topic: str, count: int) -> list[Address]:
+    """Returns the members that read a topic from the platform, by rendezvous hashing."""
+    return sorted(members, key=lambda address: _digest(f"{topic}:{address}"))[:count]
+
+
+def _digest(word: str) -> bytes:
+    """Returns a hash to order members by."""
+    return hashlib.blake2s(word.encode(), digest_size=8).digest()
--- /dev/null
+++ b/lycheepin/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon process: tasks around the decisions."""
--- /dev/null
+++ b/lycheepin/daemon/calls.py
@@ -0,0 +1,90 @@
+"""Short HTTP calls of a daemon: to the platform and to its peers. A call is sent once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+from lycheepin.daemon.connection import BrokenAnswer, Connection, ConnectionPool, Headers
+from lycheepin.names import Address
+
+__all__ = ["Called", "CallFailed", "Caller"]
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+
+
+@dataclass(frozen=True)
+class Called:
+    """A complete answer."""
+
+    status: int
+    headers: Headers = field(default_factory=list)
+    body: bytes = b""
+
+    def header(self, name: bytes) -> bytes | None:
+        """Returns a header by its lower-case name, or None."""
+        return next((value for key, value in self.headers if key.lower() == name), None)
+
+
+@dataclass(frozen=True)
+class CallFailed:
+    """No complete answer; `sent` tells whether the call may have taken effect."""
+
+    sent: bool
+    reason: str
+
+
+class Caller:
+    """Makes calls over pooled connections."""
+
+    def __init__(self, local_address: str) -> None:
+        self._pool = ConnectionPool(local_address)
+
+    async def call(
+        self,
+        address: Address,
+        port: int,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: tuple[tuple[str, str], ...] = (),
+        timeout_s: float = 2.0,
+    ) -> Called | CallFailed:
+        """Returns the answer, or why there is none."""
+        lines = [f"{method} {target} HTTP/1.1", f"Host: {address}:{port}"]
+        lines += [f"{name}: {value}" for name, value in headers]
+        lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        connection: Connection | None = None
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._pool.acquire(address, port)
+                connection.start(head + body)
+                answer = await connection.head()
+                content = await _read_all(connection)
+        except (BrokenAnswer, OSError, TimeoutError) as error:
+            if connection is not None:
+                connection.close()
+            return CallFailed(connection is not None and connection.sent, repr(error))
+        except asyncio.CancelledError:
+            if connection is not None:
+                connection.close()
+            raise
+        self._pool.release(address, port, connection)
+        return Called(answer.status, answer.headers, content)
+
+    def close(self) -> None:
+        """Closes idle connections."""
+        self._pool.close()
+
+
+async def _read_all(connection: Connection) -> bytes:
+    """Returns a whole body; raises BrokenAnswer when it is cut short or too large."""
+    parts: list[bytes] = []
+    size = 0
+    async for chunk in connection.body():
+        size += len(chunk)
+        if size > MAX_ANSWER_BYTES:
+            raise BrokenAnswer(f"answer over {MAX_ANSWER_BYTES} bytes")
+        parts.append(chunk)
+    return b"".join(parts)
--- /dev/null
+++ b/lycheepin/daemon/peers.py
@@ -0,0 +1,348 @@
+"""The task that owns the UDP socket: membership, documents, reports and loans."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from dataclasses import dataclass
+from typing import Any
+from urllib.parse import quote
+
+from lycheepin.cluster.documents import (
+    Copy,
+    choose_watchers,
+    compress,
+    decompress,
+    relay_targets,
+)
+from lycheepin.cluster.membership import Member, MemberState, Send
+from lycheepin.cluster.wire import decode_envelope, encode_envelope, peer_token
+from lycheepin.daemon.calls import Called, Caller
+from lycheepin.daemon.node import Node
+from lycheepin.generated.messages import (
+    DocumentPush,
+    Envelope,
+    HoldingReport,
+    Loan,
+    LoanReceipt,
+    LoanRequest,
+    Repayment,
+    RepaymentReceipt,
+)
+from lycheepin.names import Address, Incarnation, Resource, Revision, ServiceName
+from lycheepin.steering.ledger import LoanKey, LoanRecord
+
+__all__ = ["PeerTask", "Report"]
+
+ADVANCE_STEPS = 5
+INLINE_BYTES = 1200
+REPORT_INTERVAL_S = 1.0
+LOAN_RETRY_S = 0.2
+LOAN_IDLE_S = 1.0
+PLANNER_CANDIDATES = 2
+MAX_LOAN = 4
+
+
+@dataclass(frozen=True)
+class Report:
+    """The latest holding report of a daemon."""
+
+    holder: Incarnation
+    report: HoldingReport
+
+
+class PeerTask(asyncio.DatagramProtocol):
+    """Talks to the other daemons."""
+
+    def __init__(self, node: Node, caller: Caller) -> None:
+        self._node = node
+        self._caller = caller
+        self._transport: asyncio.DatagramTransport | None = None
+        self._fetching: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._last_report: tuple[int, bool, bool] | None = None
+        self._reported_s = 0.0
+        self._loans_checked_s = 0.0
+        self._busy_s: dict[ServiceName, float] = {}
+        self._unconfirmed: dict[int, LoanRecord] = {}
+        self._repaying: dict[LoanKey, LoanRecord] = {}
+        self.reports: dict[Incarnation, Report] = {}
+
+    def connection_made(self, transport: Any) -> None:
+        """Called by asyncio."""
+        self._transport = transport
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        """Called by asyncio; datagrams that are not authentic are counted and dropped."""
+        try:
+            envelope = decode_envelope(data, self._node.key)
+        except ValueError:
+            self._node.metrics.count("datagrams_refused")
+            return
+        self._node.metrics.count("datagrams_received")
+        self._node.hybrid.observe(envelope.stamp)
+        self._dispatch(envelope, Address(addr[0]), addr[1])
+
+    def error_received(self, exc: Exception) -> None:
+        """Called by asyncio when a peer's port is closed; probes find that out."""
+
+    async def run(self) -> None:
+        """Sends what is due until cancelled."""
+        interval_s = self._node.settings.probe_interval_ms / 1000 / ADVANCE_STEPS
+        for peer in self._node.settings.peers:
+            self._node.membership.propose(Address(peer.host), peer.port)
+        while True:
+            self.advance(self._node.clock.monotonic())
+            await asyncio.sleep(interval_s)
+
+    def advance(self, now_s: float) -> None:
+        """Sends heartbeats, reports and loans that are due."""
+        node = self._node
+        self._send_all(node.membership.advance(now_s))
+        node.forget_gone_members()
+        self._note_changes()
+        self._report(now_s)
+        if now_s - self._loans_checked_s >= LOAN_RETRY_S:
+            self._loans_checked_s = now_s
+            self._manage_loans(now_s)
+
+    def planner_order(self) -> list[Member]:
+        """Returns the members of this cell in the order in which they act as planner."""
+        cell = self.cell_members()
+        by_address = {member.address: member for member in cell}
+        chosen = choose_watchers(by_address, self._node.plan_name, len(cell))
+        return [by_address[address] for address in chosen]
+
+    def cell_members(self) -> list[Member]:
+        """Returns the members of this cell that are expected to answer."""
+        return [
+            member
+            for member in self._node.membership.reachable()
+            if member.region == self._node.region and member.state is not MemberState.SUSPECT
+        ]
+
+    def publish(self, copy: Copy) -> bool:
+        """Puts a document read from the platform in force and passes it on."""
+        accepted = self._node.accept(copy)
+        if accepted:
+            self._relay(copy, is_origin=True)
+        return accepted
+
+    def announce_leave(self) -> None:
+        """Tells the cell at once that this daemon is leaving."""
+        self._node.membership.leave()
+        self._node.events.record("leaving")
+        self._send_all(self._node.membership.farewell())
+
+    def _dispatch(self, envelope: Envelope, address: Address, port: int) -> None:
+        """Acts on one message."""
+        sender = Incarnation(envelope.incarnation)
+        match envelope:
+            case Envelope(heartbeat=heartbeat) if heartbeat is not None:
+                now_s = self._node.clock.monotonic()
+                self._send_all(self._node.membership.receive(heartbeat, address, port, now_s))
+                self._note_changes()
+                for name in self._node.replicas.missing(heartbeat.documents):
+                    self._fetch_later(name, address, port)
+            case Envelope(push=push) if push is not None:
+                self._receive_push(push, address, port)
+            case Envelope(report=report) if report is not None:
+                self.reports[sender] = Report(sender, report)
+            case Envelope(loan_request=request) if request is not None:
+                self._lend(request, sender)
+            case Envelope(loan=loan) if loan is not None:
+                self._receive_loan(loan, address, port)
+            case Envelope(loan_receipt=receipt) if receipt is not None:
+                self._unconfirmed.pop(receipt.number, None)
+            case Envelope(repayment=repayment) if repayment is not None:
+                self._receive_repayment(repayment, address, port)
+            case Envelope(repayment_receipt=receipt) if receipt is not None:
+                self._repaying.pop(LoanKey(sender, receipt.number), None)
+
+    def _note_changes(self) -> None:
+        """Records changes of membership as events."""
+        for member in self._node.membership.changes:
+            self._node.events.record("member_" + member.state.name.lower(), member.vm)
+            self._node.metrics.count("member_changes", member.state.name.lower())
+        self._node.membership.changes.clear()
+
+    def _send_all(self, sends: Iterable[Send]) -> None:
+        """Sends heartbeats."""
+        for send in sends:
+            self._send(send.address, send.port, Envelope(heartbeat=send.heartbeat))
+
+    def _send(self, address: Address, port: int, envelope: Envelope) -> None:
+        """Sends one message."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        envelope.stamp = self._node.hybrid.stamp()
+        envelope.incarnation = self._node.incarnation
+        datagram = encode_envelope(envelope, self._node.key)
+        self._node.metrics.count("datagrams_sent")
+        self._node.metrics.count("datagram_bytes_sent", amount=len(datagram))
+        self._transport.sendto(datagram, (address, port))
+
+    # Documents
+
+    def _relay(self, copy: Copy, is_origin: bool) -> None:
+        """Passes a new revision on to this daemon's part of the tree."""
+        members = {member.address: member for member in self.cell_members()}
+        own = self._node.address
+        content = compress(copy.content)
+        if len(content) > INLINE_BYTES:
+            content = b""
+        targets = relay_targets(copy.name, copy.revision, own, list(members), is_origin)
+        for address in targets:
+            push = DocumentPush(copy.name, copy.revision, content)
+            self._send(address, members[address].port, Envelope(push=push))
+
+    def _receive_push(self, push: DocumentPush, address: Address, port: int) -> None:
+        """Takes over a pushed revision, or fetches it when it was too large."""
+        revision = Revision(push.revision)
+        if revision <= self._node.replicas.revision(push.name):
+            return
+        if not push.content:
+            self._fetch_later(push.name, address, port)
+            return
+        try:
+            copy = Copy(push.name, revision, decompress(push.content))
+        except ValueError:
+            self._node.metrics.count("documents_refused", push.name)
+            return
+        if self._node.accept(copy):
+            self._relay(copy, is_origin=False)
+
+    def _fetch_later(self, name: str, address: Address, port: int) -> None:
+        """Fetches a document from a peer, once at a time."""
+        if name in self._fetching:
+            return
+        self._fetching.add(name)
+        task = asyncio.get_running_loop().create_task(self._fetch(name, address, port))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _fetch(self, name: str, address: Address, port: int) -> None:
+        """Fetches a document from a peer, puts it in force and passes it on."""
+        token = (("lycheepin-peer", peer_token(self._node.key, address)),)
+        target = f"/_lycheepin/peer/document?name={quote(name, safe='')}"
+        try:
+            answer = await self._caller.call(address, port, "GET", target, headers=token)
+            match answer:
+                case Called(status=200, body=body):
+                    revision = Revision(int(answer.header(b"lycheepin-revision") or 0))
+                    copy = Copy(name, revision, decompress(body))
+                    if self._node.accept(copy):
+                        self._relay(copy, is_origin=False)
+        except ValueError:
+            self._node.metrics.count("documents_refused", name)
+        finally:
+            self._fetching.discard(name)
+
+    # Reports
+
+    def _report(self, now_s: float) -> None:
+        """Reports to the planner when something changed, and once an interval."""
+        ledger = self._node.ledger
+        ledger.expire(now_s)
+        state = (ledger.plan_revision, ledger.settled, ledger.clear)
+        if state == self._last_report and now_s - self._reported_s < REPORT_INTERVAL_S:
+            return
+        self._last_report = state
+        self._reported_s = now_s
+        report = HoldingReport(state[0], state[1], self._node.loads(), state[2])
+        for member in self.planner_order()[:PLANNER_CANDIDATES]:
+            if member.address == self._node.address:
+                self.reports[self._node.incarnation] = Report(self._node.incarnation, report)
+            else:
+                self._send(member.address, member.port, Envelope(report=report))
+
+    # Loans
+
+    def _manage_loans(self, now_s: float) -> None:
+        """Repeats loans and repayments, asks for slots when requests wait, and repays."""
+        members = {m.incarnation: m for m in self._node.membership.members()}
+        for record in list(self._unconfirmed.values()):
+            self._send_loan(record, members.get(record.borrower))
+        for key in list(self._repaying):
+            self._send_repayment(key, members.get(key.lender))
+        for service in self._node.services:
+            if self._node.admission.waiting(service):
+                self._busy_s[service] = now_s
+                self._ask_for_loan(service)
+        for record in self._node.ledger.loans_in():
+            service_name = self._service_of(record.resource)
+            if service_name and now_s - self._busy_s.get(service_name, 0.0) < LOAN_IDLE_S:
+                continue
+            if self._node.ledger.repay(record.key):
+                self._repaying[record.key] = record
+                self._node.refresh()
+                self._send_repayment(record.key, members.get(record.key.lender))
+
+    def _service_of(self, resource: Resource) -> ServiceName | None:
+        """Returns the service of an endpoint's slots, or None."""
+        return next((s for s, rs in self._node.services.items() if resource in rs), None)
+
+    def _ask_for_loan(self, service: ServiceName) -> None:
+        """Asks the other holders of a service for slots."""
+        count = min(MAX_LOAN, self._node.admission.waiting(service))
+        for member in self.cell_members():
+            holds = self._node.tokens_of(member.incarnation, service)
+            if holds and member.address != self._node.address:
+                request = LoanRequest(service, count)
+                self._send(member.address, member.port, Envelope(loan_request=request))
+
+    def _lend(self, request: LoanRequest, borrower: Incarnation) -> None:
+        """Lends at most half of the free slots of a service."""
+        node = self._node
+        service = ServiceName(request.service_name)
+        if service not in node.services or node.admission.waiting(service):
+            return
+        member = next((m for m in node.membership.members() if m.incarnation == borrower), None)
+        spare = min(request.count, node.admission.free(service) // 2)
+        for resource in node.services[service]:
+            count = min(spare, node.ledger.available(resource))
+            record = node.ledger.lend(borrower, resource, count) if count > 0 else None
+            if record is not None:
+                spare -= count
+                self._unconfirmed[record.key.number] = record
+                node.metrics.count("tokens_lent", amount=count)
+                self._send_loan(record, member)
+
+    def _send_loan(self, record: LoanRecord, member: Member | None) -> None:
+        """Sends a loan; the ledger was lowered before."""
+        if member is None:
+            return
+        loan = Loan(
+            record.key.number, record.key.lender, record.borrower, record.resource, record.count
+        )
+        self._send(member.address, member.port, Envelope(loan=loan))
+
+    def _receive_loan(self, loan: Loan, address: Address, port: int) -> None:
+        """Takes a loan over and confirms it."""
+        record = LoanRecord(
+            LoanKey(Incarnation(loan.lender), loan.number),
+            Incarnation(loan.borrower),
+            Resource(loan.resource),
+            loan.count,
+        )
+        if self._node.ledger.accept(record):
+            self._send(address, port, Envelope(loan_receipt=LoanReceipt(loan.number, loan.lender)))
+            self._node.refresh()
+
+    def _send_repayment(self, key: LoanKey, member: Member | None) -> None:
+        """Sends a repayment; the ledger was lowered before."""
+        if member is None:
+            self._repaying.pop(key, None)
+            return
+        repayment = Repayment(key.number, key.lender, self._node.incarnation)
+        self._send(member.address, member.port, Envelope(repayment=repayment))
+
+    def _receive_repayment(self, repayment: Repayment, address: Address, port: int) -> None:
+        """Takes lent tokens back and confirms it."""
+        if repayment.lender != self._node.incarnation:
+            return
+        self._unconfirmed.pop(repayment.number, None)
+        self._node.ledger.take_back(LoanKey(self._node.incarnation, repayment.number))
+        receipt = RepaymentReceipt(repayment.number, repayment.borrower)
+        self._send(address, port, Envelope(repayment_receipt=receipt))
+        self._node.refresh()
--- /dev/null
+++ b/lycheepin/daemon/server.py
@@ -0,0 +1,236 @@
+"""The HTTP side of a daemon: strict framing, routes, and the way into the request path."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Generator
+from contextlib import contextmanager
+from typing import Any
+from urllib.parse import unquote
+
+import uvicorn
+from blacksheep import Application, Content, Request, Response
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
+
+from lycheepin.cluster.documents import CONFIGURATION, compress
+from lycheepin.cluster.wire import peer_token
+from lycheepin.daemon.node import Node
+from lycheepin.daemon.operators import Operators
+from lycheepin.daemon.request import CallerRequest
+from lycheepin.daemon.requests import RequestPath
+from lycheepin.errors import ErrorKind, Fault
+
+__all__ = ["HttpServer", "build_server"]
+
+PREFIX = "/_lycheepin/"
+MAX_HEAD_BYTES = 32 * 1024
+MAX_HEADERS = 100
+KEEP_ALIVE_S = 30
+LOOPBACK = ("127.", "::1")
+
+
+class OversizedHead(Exception):
+    """The head of a request is larger than allowed."""
+
+
+class StrictProtocol(HttpToolsProtocol):
+    """Refuses requests with an oversized or ambiguous head by a fault that says NOT_RUN."""
+
+    _head_bytes = 0
+    _head_count = 0
+
+    def on_message_begin(self) -> None:
+        """Called by the parser."""
+        self._head_bytes = 0
+        self._head_count = 0
+        super().on_message_begin()
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser."""
+        self._count_head(len(url))
+        super().on_url(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser."""
+        self._count_head(len(name) + len(value))
+        super().on_header(name, value)
+
+    def _count_head(self, size: int) -> None:
+        """Raises OversizedHead when the head has become too large."""
+        self._head_bytes += size
+        self._head_count += 1
+        if self._head_bytes > MAX_HEAD_BYTES or self._head_count > MAX_HEADERS:
+            raise OversizedHead
+
+    def send_400_response(self, msg: str) -> None:
+        """Answers a request that could not be parsed and closes the connection."""
+        body = json.dumps(Fault(ErrorKind.BAD_FRAMING).body()).encode()
+        head = (
+            b"HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\n"
+            b"lycheepin-outcome: NOT_RUN\r\nlycheepin-error: bad_framing\r\n"
+            b"connection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
+        )
+        self.transport.write(head + body)
+        self.transport.close()
+
+
+class HttpServer(uvicorn.Server):
+    """A server that leaves signals to the daemon."""
+
+    @contextmanager
+    def capture_signals(self) -> Generator[None, None, None]:
+        """Does nothing: the daemon handles signals itself."""
+        yield
+
+
+def build_server(node: Node, operators: Operators, path: RequestPath) -> HttpServer:
+    """Returns the server of a daemon; its sockets are passed when it is started."""
+    routes = build_routes(node, operators)
+
+    async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["path"].startswith(PREFIX):
+            await routes(scope, receive, send)
+        else:
+            await path.handle(CallerRequest(scope, receive, send))
+
+    config = uvicorn.Config(
+        app,
+        loop="asyncio",
+        http=StrictProtocol,
+        ws="none",
+        lifespan="off",
+        log_config=None,
+        log_level="critical",
+        access_log=False,
+        server_header=False,
+        date_header=False,
+        proxy_headers=False,
+        timeout_keep_alive=KEEP_ALIVE_S,
+        timeout_graceful_shutdown=None,
+    )
+    return HttpServer(config)
+
+
+def _json(value: Any) -> Response:
+    """Returns an answer with a JSON body; a fault gets its own status."""
+    if isinstance(value, Fault):
+        status, body = value.answer.status, value.body()
+    else:
+        status, body = 200, value
+    return Response(status, content=Content(b"application/json", json.dumps(body).encode()))
+
+
+def _query(request: Request, name: str) -> str:
+    """Returns the first value of a query parameter; empty when there is none."""
+    values = request.query.get(name)
+    return unquote(values[0]) if values else ""
+
+
+def _may_administer(node: Node, request: Request) -> bool:
+    """Returns whether a call carries the operator key, or may go without one."""
+    key = node.settings.operator_key
+    if not key:
+        return node.settings.address.startswith(LOOPBACK)
+    given = request.get_first_header(b"lycheepin-operator-key") or b""
+    return given == key.encode()
+
+
+def _is_peer(node: Node, request: Request) -> bool:
+    """Returns whether a call comes from another daemon."""
+    given = request.get_first_header(b"lycheepin-peer") or b""
+    return given == peer_token(node.key, node.address).encode()
+
+
+def build_routes(node: Node, operators: Operators) -> Application:
+    """Returns the application with all routes of callers, operators and peers."""
+    app = Application()
+    _add_caller_routes(app, operators)
+    _add_operator_routes(app, node, operators)
+    _add_peer_routes(app, node)
+    return app
+
+
+def _add_caller_routes(app: Application, operators: Operators) -> None:
+    """Adds the look-up."""
+
+    @app.router.get(PREFIX + "lookup")
+    async def look_up(request: Request) -> Response:
+        """Answers which entry VMs to use."""
+        caller = _query(request, "caller") or request.original_client_ip
+        return _json(
+            operators.look_up(_query(request, "fleet"), _query(request, "service"), caller)
+        )
+
+
+def _add_operator_routes(app: Application, node: Node, operators: Operators) -> None:
+    """Adds status, events, metrics and configuration."""
+
+    @app.router.get(PREFIX + "status")
+    async def status(request: Request) -> Response:
+        """Answers the state of this daemon."""
+        return _json(operators.status())
+
+    @app.router.get(PREFIX + "explain")
+    async def explain(request: Request) -> Response:
+        """Answers why a caller is sent where it is."""
+        caller = _query(request, "caller")
+        return _json(
+            operators.explain(_query(request, "fleet"), _query(request, "service"), caller)
+        )
+
+    @app.router.get(PREFIX + "events")
+    async def events(request: Request) -> Response:
+        """Answers the events since a stamp."""
+        since = int(_query(request, "since") or 0)
+        return _json([event.to_json() for event in node.events.since(since)])
+
+    @app.router.get(PREFIX + "metrics")
+    async def metrics(request: Request) -> Response:
+        """Answers metrics as Prometheus text."""
+        text = node.metrics.to_prometheus(operators.gauges())
+        return Response(200, content=Content(b"text/plain; version=0.0.4", text.encode()))
+
+    @app.router.get(PREFIX + "config")
+    async def show(request: Request) -> Response:
+        """Answers the configuration in force."""
+        return _json(operators.configuration())
+
+    @app.router.post(PREFIX + "config")
+    async def apply(request: Request) -> Response:
+        """Puts a configuration in force."""
+        if not _may_administer(node, request):
+            return _json(Fault(ErrorKind.FORBIDDEN))
+        try:
+            value = json.loads(await request.read() or b"")
+        except ValueError as error:
+            return _json(Fault(ErrorKind.BAD_REQUEST, str(error)))
+        return _json(await operators.apply(value))
+
+    @app.router.get(PREFIX + "config/coverage")
+    async def coverage(request: Request) -> Response:
+        """Answers which daemons have a configuration in force."""
+        return _json(await operators.coverage(int(_query(request, "number") or 0)))
+
+
+def _add_peer_routes(app: Application, node: Node) -> None:
+    """Adds the calls between daemons."""
+
+    @app.router.get(PREFIX + "peer/document")
+    async def document(request: Request) -> Response:
+        """Answers the copy of a document."""
+        if not _is_peer(node, request):
+            return _json(Fault(ErrorKind.FORBIDDEN))
+        copy = node.replicas.get(_query(request, "name"))
+        if copy is None:
+            return _json(Fault(ErrorKind.NO_CONFIGURATION))
+        headers = [(b"lycheepin-revision", str(copy.revision).encode())]
+        content = Content(b"application/octet-stream", compress(copy.content))
+        return Response(200, headers, content)
+
+    @app.router.get(PREFIX + "peer/number")
+    async def number(request: Request) -> Response:
+        """Answers the number of the configuration in force."""
+        if not _is_peer(node, request):
+            return _json(Fault(ErrorKind.FORBIDDEN))
+        text = str(node.replicas.revision(CONFIGURATION))
+        return Response(200, content=Content(b"text/plain", text.encode()))
--- /dev/null
+++ b/lycheepin/fields.py
@@ -0,0 +1,26 @@
+"""The rule that a generated settings class carries for each of its fields."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["FieldRule"]
+
+
+@dataclass(frozen=True)
+class FieldRule:
+    """Type, range and documentation of one field.
+
+    `minimum` and `maximum` bound a number, or the length of a string. For a list, `type`,
+    `pattern` and `choices` apply to each item.
+    """
+
+    name: str
+    type: type
+    is_list: bool
+    doc: str
+    required: bool
+    minimum: int | None = None
+    maximum: int | None = None
+    pattern: str | None = None
+    choices: tuple[str, ...] = ()
--- /dev/null
+++ b/lycheepin/names.py
@@ -0,0 +1,51 @@
+"""Identifiers: ids as distinct types, and names qualified by fleet."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import NewType
+
+__all__ = [
+    "Address",
+    "ClassName",
+    "FleetName",
+    "Incarnation",
+    "QualifiedName",
+    "RegionName",
+    "RequestKey",
+    "Resource",
+    "Revision",
+    "ServiceName",
+    "ZoneName",
+]
+
+FleetName = NewType("FleetName", str)
+ServiceName = NewType("ServiceName", str)
+ClassName = NewType("ClassName", str)
+RegionName = NewType("RegionName", str)
+ZoneName = NewType("ZoneName", str)
+Address = NewType("Address", str)
+Incarnation = NewType("Incarnation", int)
+Revision = NewType("Revision", int)
+RequestKey = NewType("RequestKey", str)
+Resource = NewType("Resource", str)
+
+
+@dataclass(frozen=True, order=True)
+class QualifiedName:
+    """The name of a VM or service together with the fleet that it belongs to."""
+
+    fleet: FleetName
+    name: str
+
+    @classmethod
+    def parse(cls, text: str) -> QualifiedName:
+        """Returns the name written as `fleet/name`; raises ValueError for another form."""
+        fleet, separator, name = text.partition("/")
+        if not fleet or not separator or not name:
+            raise ValueError(f"not of the form fleet/name: {text!r}")
+        return cls(FleetName(fleet), name)
+
+    def __str__(self) -> str:
+        """Returns `fleet/name`."""
+        return f"{self.fleet}/{self.name}"
--- /dev/null
+++ b/lycheepin/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform: store and VM list."""
--- /dev/null
+++ b/lycheepin/platform/vms.py
@@ -0,0 +1,127 @@
+"""The platform's list of VMs: data, and the adapter that fetches it."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any, Protocol
+from urllib.parse import quote
+
+from lycheepin.daemon.calls import Called, Caller
+from lycheepin.generated.settings import Address as AddressSetting
+from lycheepin.names import Address, QualifiedName, RegionName, Revision, ZoneName
+
+__all__ = [
+    "EndpointVm",
+    "EntryVm",
+    "HttpVmList",
+    "VmList",
+    "VmListSource",
+    "VmState",
+    "decode_vm_list",
+]
+
+
+class VmState(Enum):
+    """State of a VM in the platform's list."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclass(frozen=True)
+class EndpointVm:
+    """One endpoint: a VM that serves one service of its fleet."""
+
+    name: QualifiedName
+    service: QualifiedName
+    address: Address
+    port: int
+    zone: ZoneName
+    region: RegionName
+    slots: int
+    state: VmState
+
+
+@dataclass(frozen=True)
+class EntryVm:
+    """One VM that runs a daemon."""
+
+    name: QualifiedName
+    address: Address
+    port: int
+    zone: ZoneName
+    region: RegionName
+    state: VmState
+
+
+@dataclass(frozen=True)
+class VmList:
+    """The list at one revision of the platform."""
+
+    revision: Revision
+    endpoints: tuple[EndpointVm, ...] = ()
+    entries: tuple[EntryVm, ...] = ()
+
+
+def decode_vm_list(content: bytes) -> VmList:
+    """Returns the list in `content`; raises ValueError when a field is missing or wrong."""
+    try:
+        value = json.loads(content)
+        endpoints = tuple(_decode_endpoint(item) for item in value["endpoints"])
+        entries = tuple(_decode_entry(item) for item in value["entries"])
+        return VmList(Revision(int(value["revision"])), endpoints, entries)
+    except (KeyError, TypeError) as error:
+        raise ValueError(f"not a VM list: {error!r}") from error
+
+
+def _decode_endpoint(item: dict[str, Any]) -> EndpointVm:
+    """Returns one endpoint of the list."""
+    return EndpointVm(
+        name=QualifiedName.parse(item["name"]),
+        service=QualifiedName.parse(item["service"]),
+        address=Address(item["address"]),
+        port=int(item["port"]),
+        zone=ZoneName(item["zone"]),
+        region=RegionName(item["region"]),
+        slots=int(item["slots"]),
+        state=VmState(item["state"]),
+    )
+
+
+def _decode_entry(item: dict[str, Any]) -> EntryVm:
+    """Returns one entry VM of the list."""
+    return EntryVm(
+        name=QualifiedName.parse(item["name"]),
+        address=Address(item["address"]),
+        port=int(item["port"]),
+        zone=ZoneName(item["zone"]),
+        region=RegionName(item["region"]),
+        state=VmState(item["state"]),
+    )
+
+
+class VmListSource(Protocol):
+    """Where the list comes from."""
+
+    async def fetch(self, region: RegionName, after: Revision) -> bytes | None:
+        """Returns the encoded list if it is later than `after`; None if not, or unavailable."""
+
+
+class HttpVmList:
+    """The platform's list over HTTP."""
+
+    def __init__(self, caller: Caller, address: AddressSetting) -> None:
+        self._caller = caller
+        self._host = Address(address.host)
+        self._port = address.port
+
+    async def fetch(self, region: RegionName, after: Revision) -> bytes | None:
+        """Returns the encoded list if it is later than `after`; None if not, or unavailable."""
+        target = f"/vms?region={quote(region)}&after={after}"
+        answer = await self._caller.call(self._host, self._port, "GET", target)
+        match answer:
+            case Called(status=200, body=body):
+                return body
+        return None
--- /dev/null
+++ b/lycheepin/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Steering decisions: plain synchronous code without sockets, clocks or randomness."""
--- /dev/null
+++ b/lycheepin/steering/admission.py
@@ -0,0 +1,260 @@
+"""Admission of requests at one daemon: start, wait, shift to another region, or refuse.
+
+A request starts only with a token of an endpoint in hand, so no queue builds up at endpoints and
+no cap is passed. Work that can't meet its deadline is refused before it waits.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from lycheepin.errors import ErrorKind, Fault
+from lycheepin.generated.settings import WorkClass
+from lycheepin.names import FleetName, RegionName, Resource, ServiceName
+from lycheepin.steering.capacity import link_resource, shift_resource
+from lycheepin.steering.endpoints import EndpointPool, Result
+from lycheepin.steering.fairness import FairQueue
+from lycheepin.steering.ledger import Ledger
+
+__all__ = ["Admission", "Decision", "Refuse", "RetryBudget", "Shift", "Start", "Ticket", "Wait"]
+
+SHIFT_PERIOD_S = 1.0
+QUEUE_PER_SLOT = 4
+QUEUE_BASE = 8
+MS_PER_S = 1000
+BITS_PER_BYTE = 8
+BITS_PER_MBIT = 1_000_000
+
+
+@dataclass(frozen=True, eq=False)
+class Ticket:
+    """One request that asks to be run here; compared by identity.
+
+    `origin` is the caller's region when it is another one. `body_bytes` is 0 when unknown.
+    """
+
+    fleet: FleetName
+    service: ServiceName
+    work: WorkClass
+    deadline_s: float
+    origin: RegionName | None = None
+    body_bytes: int = 0
+    may_shift: bool = False
+
+    @property
+    def work_key(self) -> str:
+        """Service and class as one key for statistics."""
+        return f"{self.service}/{self.work.name}"
+
+
+@dataclass(frozen=True)
+class Start:
+    """Run the request at this endpoint now; `link` names the Mbit/s reserved, if any."""
+
+    ticket: Ticket
+    endpoint: Resource
+    link_mbit: int = 0
+
+
+@dataclass(frozen=True)
+class Wait:
+    """The request waits; a later decision names its ticket."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True)
+class Shift:
+    """Try another region first; offer the request again with `may_shift` false if that fails."""
+
+    ticket: Ticket
+
+
+@dataclass(frozen=True)
+class Refuse:
+    """Answer the request with a fault; it has not run."""
+
+    ticket: Ticket
+    fault: Fault
+
+
+Decision = Start | Wait | Shift | Refuse
+
+
+@dataclass
+class RetryBudget:
+    """Retries allowed as a part of recent first attempts."""
+
+    ratio: float = 0.1
+    limit: float = 20.0
+    balance: float = field(default=5.0)
+
+    def earn(self) -> None:
+        """Counts one first attempt."""
+        self.balance = min(self.limit, self.balance + self.ratio)
+
+    def spend(self) -> bool:
+        """Returns whether one retry is allowed, and counts it."""
+        if self.balance < 1.0:
+            return False
+        self.balance -= 1.0
+        return True
+
+
+class Admission:
+    """Queues and slots of all services at one daemon."""
+
+    def __init__(self, ledger: Ledger, pool: EndpointPool) -> None:
+        self._ledger = ledger
+        self._pool = pool
+        self._queues: defaultdict[ServiceName, FairQueue[Ticket]] = defaultdict(FairQueue)
+        self._endpoints: dict[ServiceName, tuple[Resource, ...]] = {}
+        self.refused: defaultdict[ErrorKind, int] = defaultdict(int)
+
+    def set_endpoints(self, endpoints: dict[ServiceName, tuple[Resource, ...]]) -> None:
+        """Replaces the endpoints that may get new work, by service."""
+        self._endpoints = endpoints
+
+    def granted(self, service: ServiceName) -> int:
+        """Returns the tokens for a service that may be in use here."""
+        return sum(max(0, self._ledger.allowance(r)) for r in self._endpoints.get(service, ()))
+
+    def in_use(self, service: ServiceName) -> int:
+        """Returns the tokens of a service in use here."""
+        return sum(self._ledger.in_use(r) for r in self._endpoints.get(service, ()))
+
+    def waiting(self, service: ServiceName) -> int:
+        """Returns the number of requests of a service that wait here."""
+        return len(self._queues[service]) if service in self._queues else 0
+
+    def free(self, service: ServiceName) -> int:
+        """Returns the tokens of a service that could be acquired now."""
+        return sum(self._ledger.available(r) for r in self._endpoints.get(service, ()))
+
+    def submit(self, ticket: Ticket, now_s: float) -> Decision:
+        """Returns what to do with a new request."""
+        queue = self._queues[ticket.service]
+        if not queue:
+            decision = self._try_start(ticket, now_s)
+            if decision is not None:
+                return decision
+        if ticket.origin is not None:
+            return self._refuse(ticket, ErrorKind.NO_CAPACITY)
+        granted = self.granted(ticket.service)
+        if granted == 0:
+            return (
+                Shift(ticket) if ticket.may_shift else self._refuse(ticket, ErrorKind.NO_CAPACITY)
+            )
+        wait_s = self._expected_wait(ticket, granted)
+        run_s = self._pool.expected_s(ticket.work_key)
+        if ticket.may_shift and wait_s + run_s > ticket.work.answer_target_ms / MS_PER_S:
+            return Shift(ticket)
+        if now_s + wait_s + run_s > ticket.deadline_s:
+            return self._refuse(ticket, ErrorKind.DEADLINE)
+        if queue.waiting(ticket.fleet) >= QUEUE_PER_SLOT * granted + QUEUE_BASE:
+            return self._refuse(ticket, ErrorKind.QUEUE_FULL)
+        queue.push(ticket.fleet, ticket, ticket.work.protected)
+        return Wait(ticket)
+
+    def _expected_wait(self, ticket: Ticket, granted: int) -> float:
+        """Returns the expected wait of one more request of the ticket's fleet in seconds."""
+        queue = self._queues[ticket.service]
+        fleets = max(1, queue.active_fleets())
+        ahead = min(len(queue), queue.waiting(ticket.fleet) * fleets) + 1
+        return ahead * self._pool.expected_s(ticket.work_key) / granted
+
+    def _try_start(self, ticket: Ticket, now_s: float) -> Start | Refuse | None:
+        """Returns a start with all tokens acquired, a refusal by a cap, or None."""
+        self._ledger.expire(now_s)
+        endpoint = self._choose(ticket.service, now_s)
+        if endpoint is None:
+            return None
+        link_mbit = 0
+        if ticket.origin is not None:
+            shift = shift_resource(ticket.service, ticket.origin)
+            link_mbit = self._link_need(ticket)
+            if not self._shift_allowed(shift):
+                return self._refuse(ticket, ErrorKind.SHIFT_CAP)
+            if link_mbit and not self._ledger.acquire(link_resource(ticket.origin), link_mbit):
+                return self._refuse(ticket, ErrorKind.LINK_FULL)
+            self._ledger.acquire_until(shift, now_s + SHIFT_PERIOD_S)
+        self._ledger.acquire(endpoint)
+        self._queues[ticket.service].start(ticket.fleet)
+        return Start(ticket, endpoint, link_mbit)
+
+    def set_capped_shifts(self, resources: frozenset[Resource]) -> None:
+        """Replaces the shift and link resources that have a cap."""
+        self._capped = resources
+
+    _capped: frozenset[Resource] = frozenset()
+
+    def _shift_allowed(self, shift: Resource) -> bool:
+        """Returns whether a shifted request fits its cap; without a cap it always does."""
+        return shift not in self._capped or self._ledger.available(shift) > 0
+
+    def _link_need(self, ticket: Ticket) -> int:
+        """Returns the Mbit/s that a shifted upload reserves; 0 when nothing is to be reserved."""
+        assert ticket.origin is not None
+        if not ticket.work.upload or link_resource(ticket.origin) not in self._capped:
+            return 0
+        bits = max(1, ticket.body_bytes) * BITS_PER_BYTE
+        seconds = ticket.work.answer_target_ms / MS_PER_S
+        return max(1, -(-bits // int(BITS_PER_MBIT * seconds)))
+
+    def _choose(self, service: ServiceName, now_s: float) -> Resource | None:
+        """Returns the endpoint for the next request of a service, or None."""
+        endpoints = self._endpoints.get(service, ())
+        free = {resource: self._ledger.available(resource) for resource in endpoints}
+        used = {resource: self._ledger.in_use(resource) for resource in endpoints}
+        return self._pool.choose(free, used, now_s)
+
+    def finish(self, start: Start, result: Result, elapsed_s: float, now_s: float) -> None:
+        """Gives the tokens of an ended attempt back."""
+        ticket = start.ticket
+        self._ledger.release(start.endpoint)
+        if start.link_mbit and ticket.origin is not None:
+            self._ledger.release(link_resource(ticket.origin), start.link_mbit)
+        self._queues[ticket.service].finish(ticket.fleet)
+        self._pool.observe(start.endpoint, ticket.work_key, result, elapsed_s, now_s)
+
+    def abandon(self, ticket: Ticket) -> bool:
+        """Removes a waiting request whose caller has left; returns whether it was waiting."""
+        return self._queues[ticket.service].remove(ticket.fleet, ticket)
+
+    def poll(self, now_s: float) -> list[Start | Refuse]:
+        """Returns the decisions on waiting requests that are due now."""
+        decisions: list[Start | Refuse] = []
+        for service in list(self._queues):
+            decisions += self._expire(service, now_s)
+            decisions += self._start_waiting(service, now_s)
+        return decisions
+
+    def _expire(self, service: ServiceName, now_s: float) -> list[Start | Refuse]:
+        """Refuses the waiting requests that can't meet their deadline any more."""
+        queue = self._queues[service]
+        late = [
+            (fleet, ticket)
+            for fleet, ticket in queue.items()
+            if now_s + self._pool.expected_s(ticket.work_key) > ticket.deadline_s
+        ]
+        for fleet, ticket in late:
+            queue.remove(fleet, ticket)
+        return [self._refuse(ticket, ErrorKind.DEADLINE) for _, ticket in late]
+
+    def _start_waiting(self, service: ServiceName, now_s: float) -> list[Start | Refuse]:
+        """Starts waiting requests while endpoints have free tokens."""
+        started: list[Start | Refuse] = []
+        queue = self._queues[service]
+        while queue and self._choose(service, now_s) is not None:
+            ticket = queue.pop()
+            assert ticket is not None
+            decision = self._try_start(ticket, now_s)
+            assert decision is not None
+            started.append(decision)
+        return started
+
+    def _refuse(self, ticket: Ticket, kind: ErrorKind) -> Refuse:
+        """Returns a refusal and counts it."""
+        self.refused[kind] += 1
+        return Refuse(ticket, Fault(kind))
--- /dev/null
+++ b/lycheepin/steering/plan.py
@@ -0,0 +1,206 @@
+"""The plan of one cell: how many tokens of each resource every daemon may hold.
+
+A plan lowers first and raises later. `limit` is what a holder may use from now on; `ceiling` is
+the most that it may still be using. A ceiling falls to the limit only when the holder has
+reported itself settled at exactly the revision that the next plan is based on. Limits rise only
+into the room that the ceilings of all holders leave below the cap.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any
+
+from lycheepin.names import Incarnation, Resource, Revision
+
+__all__ = ["Caps", "Evidence", "Grant", "Plan", "decode_plan", "encode_plan", "revise_plan"]
+
+QUARANTINE_MS = 3000
+
+Grants = Mapping[Incarnation, Mapping[Resource, "Grant"]]
+Desired = Mapping[Incarnation, Mapping[Resource, int]]
+
+
+@dataclass(frozen=True)
+class Grant:
+    """Tokens of one resource at one holder."""
+
+    limit: int
+    ceiling: int
+
+
+@dataclass(frozen=True)
+class Plan:
+    """The grants of one cell; `revision` rises by one with each plan."""
+
+    revision: Revision = Revision(0)
+    grants: Grants = field(default_factory=dict)
+    retired: Mapping[Incarnation, int] = field(default_factory=dict)
+
+    @property
+    def holders(self) -> frozenset[Incarnation]:
+        """The processes that may hold, lend and borrow tokens."""
+        return frozenset(self.grants) - frozenset(self.retired)
+
+    def limits(self, holder: Incarnation) -> dict[Resource, int]:
+        """Returns the limits of one holder."""
+        if holder in self.retired:
+            return {}
+        return {resource: grant.limit for resource, grant in self.grants.get(holder, {}).items()}
+
+
+@dataclass(frozen=True)
+class Caps:
+    """The most tokens of each resource, and of each group of resources, over all holders.
+
+    `followed` names, for a resource that is no endpoint's, the groups whose holders share it.
+    """
+
+    resources: Mapping[Resource, int]
+    groups: Mapping[str, int] = field(default_factory=dict)
+    group_of: Mapping[Resource, str] = field(default_factory=dict)
+    followed: Mapping[Resource, tuple[str, ...]] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Evidence:
+    """What the planner knows about holders.
+
+    `settled`: holders that reported, at the plan's revision, that they fit their limits.
+    `clear`: holders that reported, at the plan's revision, that all they use is covered.
+    `ended`: holders whose process is known to have ended; silence is no such knowledge.
+    """
+
+    settled: frozenset[Incarnation]
+    clear: frozenset[Incarnation]
+    ended: frozenset[Incarnation]
+    now_ms: int
+
+
+def revise_plan(plan: Plan, caps: Caps, desired: Desired, evidence: Evidence) -> Plan | None:
+    """Returns the plan that follows `plan`, or None when nothing changes."""
+    grants = _confirm(plan, evidence)
+    retired = _retire(plan, grants, evidence)
+    for holder in desired:
+        if holder not in evidence.ended and holder not in retired:
+            grants.setdefault(holder, {})
+    _lower(grants, retired, desired)
+    _raise(grants, retired, desired, caps)
+    kept = {
+        holder: {resource: grant for resource, grant in sorted(held.items()) if grant.ceiling > 0}
+        for holder, held in sorted(grants.items())
+    }
+    if kept == plan.grants and retired == plan.retired:
+        return None
+    return Plan(Revision(plan.revision + 1), kept, retired)
+
+
+def _confirm(plan: Plan, evidence: Evidence) -> dict[Incarnation, dict[Resource, Grant]]:
+    """Returns the grants with the ceilings of settled holders at their limits."""
+    grants = {}
+    for holder, held in plan.grants.items():
+        confirmed = holder in evidence.settled and holder not in plan.retired
+        grants[holder] = {
+            resource: Grant(grant.limit, grant.limit) if confirmed else grant
+            for resource, grant in held.items()
+        }
+    return grants
+
+
+def _retire(
+    plan: Plan, grants: dict[Incarnation, dict[Resource, Grant]], evidence: Evidence
+) -> dict[Incarnation, int]:
+    """Drops holders that ended; returns those whose tokens can't be granted again yet.
+
+    The tokens of an ended holder are free once its requests at endpoints are cancelled and every
+    other holder is clear at a plan that names it as retired: loans from it are void then.
+    """
+    retired = dict(plan.retired)
+    for holder in evidence.ended & grants.keys() - retired.keys():
+        retired[holder] = evidence.now_ms
+    everyone_clear = plan.holders - evidence.ended <= evidence.clear
+    for holder, since_ms in plan.retired.items():
+        if everyone_clear and evidence.now_ms - since_ms >= QUARANTINE_MS:
+            grants.pop(holder, None)
+            del retired[holder]
+    return retired
+
+
+def _lower(
+    grants: dict[Incarnation, dict[Resource, Grant]],
+    retired: Mapping[Incarnation, int],
+    desired: Desired,
+) -> None:
+    """Lowers limits to what is desired; ceilings stay."""
+    for holder, held in grants.items():
+        wanted = {} if holder in retired else desired.get(holder, {})
+        for resource, grant in held.items():
+            limit = min(grant.limit, wanted.get(resource, 0))
+            held[resource] = Grant(limit, grant.ceiling)
+
+
+def _raise(
+    grants: dict[Incarnation, dict[Resource, Grant]],
+    retired: Mapping[Incarnation, int],
+    desired: Desired,
+    caps: Caps,
+) -> None:
+    """Raises limits towards what is desired, into the room below the caps."""
+    held_total, group_total = _count_ceilings(grants, caps)
+    for holder in sorted(desired):
+        if holder in retired or holder not in grants:
+            continue
+        for resource, wanted in sorted(desired[holder].items()):
+            grant = grants[holder].get(resource, Grant(0, 0))
+            group = caps.group_of.get(resource, "")
+            room = caps.resources.get(resource, 0) - held_total.get(resource, 0)
+            if group in caps.groups:
+                room = min(room, caps.groups[group] - group_total.get(group, 0))
+            ceiling = max(grant.ceiling, min(wanted, grant.ceiling + max(0, room)))
+            added = ceiling - grant.ceiling
+            held_total[resource] = held_total.get(resource, 0) + added
+            group_total[group] = group_total.get(group, 0) + added
+            grants[holder][resource] = Grant(max(grant.limit, min(wanted, ceiling)), ceiling)
+
+
+def _count_ceilings(
+    grants: Mapping[Incarnation, Mapping[Resource, Grant]], caps: Caps
+) -> tuple[dict[Resource, int], dict[str, int]]:
+    """Returns the sum of ceilings for each resource and for each group."""
+    by_resource: dict[Resource, int] = {}
+    by_group: dict[str, int] = {}
+    for held in grants.values():
+        for resource, grant in held.items():
+            group = caps.group_of.get(resource, "")
+            by_resource[resource] = by_resource.get(resource, 0) + grant.ceiling
+            by_group[group] = by_group.get(group, 0) + grant.ceiling
+    return by_resource, by_group
+
+
+def encode_plan(plan: Plan) -> bytes:
+    """Returns a plan as kept in the store and sent between daemons."""
+    value = {
+        "revision": plan.revision,
+        "grants": {
+            str(holder): {r: [g.limit, g.ceiling] for r, g in held.items()}
+            for holder, held in plan.grants.items()
+        },
+        "retired": {str(holder): since_ms for holder, since_ms in plan.retired.items()},
+    }
+    return json.dumps(value, separators=(",", ":")).encode()
+
+
+def decode_plan(content: bytes) -> Plan:
+    """Returns the plan in `content`; raises ValueError when it is not an encoded plan."""
+    value: dict[str, Any] = json.loads(content)
+    grants = {
+        Incarnation(int(holder)): {
+            Resource(resource): Grant(int(limit), int(ceiling))
+            for resource, (limit, ceiling) in held.items()
+        }
+        for holder, held in value["grants"].items()
+    }
+    retired = {Incarnation(int(holder)): int(ms) for holder, ms in value["retired"].items()}
+    return Plan(Revision(int(value["revision"])), grants, retired)
--- /dev/null
+++ b/schema/messages.thrift
@@ -0,0 +1,100 @@
+// Messages between daemons. Field numbers are never reused.
+
+// One daemon as its peers see it. `state` is a MemberState value; `version` rises with each refutation.
+struct MemberRecord {
+    1: string address,
+    2: i32 port,
+    3: string vm,
+    4: string zone,
+    5: string region,
+    6: i64 incarnation,
+    7: i32 version,
+    8: i32 state,
+}
+
+// The revision of one replicated document that the sender holds.
+struct DocumentVersion {
+    1: string name,
+    2: i64 revision,
+}
+
+// A probe, its acknowledgement, or a request to probe `target` on the sender's behalf.
+struct Heartbeat {
+    1: i32 kind,
+    2: i64 sequence,
+    3: string target,
+    4: list<MemberRecord> updates,
+    5: list<DocumentVersion> documents,
+}
+
+// A new revision of a document; `content` is empty when the receiver has to fetch it.
+struct DocumentPush {
+    1: string name,
+    2: i64 revision,
+    3: binary content,
+    4: i32 depth,
+}
+
+// Slots of one service at one daemon: granted, in use, and requests waiting.
+struct ServiceLoad {
+    1: string service_name,
+    2: i32 granted,
+    3: i32 in_use,
+    4: i32 waiting,
+}
+
+// What a daemon tells the planner of its cell.
+struct HoldingReport {
+    1: i64 plan_revision,
+    2: bool settled,
+    3: list<ServiceLoad> loads,
+    4: bool clear,
+}
+
+// A daemon whose requests wait asks another one of its cell for slots of a service.
+struct LoanRequest {
+    1: string service_name,
+    2: i32 count,
+}
+
+// Tokens handed from the lender to the borrower; repeated until it is acknowledged.
+struct Loan {
+    1: i64 number,
+    2: i64 lender,
+    3: i64 borrower,
+    4: string resource,
+    5: i32 count,
+}
+
+// The borrower has taken the loan into its account.
+struct LoanReceipt {
+    1: i64 number,
+    2: i64 lender,
+}
+
+// The borrower has given the loan back; repeated until it is acknowledged.
+struct Repayment {
+    1: i64 number,
+    2: i64 lender,
+    3: i64 borrower,
+}
+
+// The lender has taken the tokens back.
+struct RepaymentReceipt {
+    1: i64 number,
+    2: i64 borrower,
+}
+
+// One datagram: the sender's stamp and process, and exactly one body.
+struct Envelope {
+    1: i64 stamp,
+    2: i64 incarnation,
+    3: optional Heartbeat heartbeat,
+    4: optional DocumentPush push,
+    5: optional HoldingReport report,
+    6: optional Loan loan,
+    7: optional LoanReceipt loan_receipt,
+    8: optional Repayment repayment,
+    9: optional RepaymentReceipt repayment_receipt,
+    10: optional LoanRequest loan_request,
+}
--- /dev/null
+++ b/standins/http_client.py
@@ -0,0 +1,80 @@
+"""A plain HTTP/1.1 client for callers, on h11: one request, one connection, sent once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+import h11
+
+__all__ = ["Answer", "Failed", "fetch"]
+
+READ_BYTES = 65536
+
+
+@dataclass(frozen=True)
+class Answer:
+    """A complete answer."""
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(frozen=True)
+class Failed:
+    """No complete answer; `sent` tells whether any byte of the request left."""
+
+    sent: bool
+    reason: str
+
+
+async def fetch(
+    source: str,
+    host: str,
+    port: int,
+    method: str,
+    target: str,
+    headers: list[tuple[str, str]],
+    body: bytes = b"",
+    timeout_s: float = 40.0,
+) -> Answer | Failed:
+    """Returns the answer to one request from a source address."""
+    sent = False
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            reader, writer = await asyncio.open_connection(host, port, local_addr=(source, 0))
+            connection = h11.Connection(h11.CLIENT)
+            fields = [("host", host), ("content-length", str(len(body))), *headers]
+            sent = True
+            writer.write(connection.send(h11.Request(method=method, target=target, headers=fields)))
+            writer.write(connection.send(h11.Data(data=body)) or b"")
+            writer.write(connection.send(h11.EndOfMessage()) or b"")
+            sending = asyncio.ensure_future(writer.drain())
+            answer = await _read(connection, reader)
+            sending.cancel()
+            return answer
+    except (OSError, TimeoutError, h11.RemoteProtocolError, EOFError) as error:
+        return Failed(sent, repr(error))
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+async def _read(connection: h11.Connection, reader: asyncio.StreamReader) -> Answer:
+    """Returns the answer once it has ended completely."""
+    status, headers, parts = 0, {}, []
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+            headers = {name.decode(): value.decode() for name, value in event.headers}
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            return Answer(status, b"".join(parts), headers)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise EOFError("closed before the answer ended")
--- /dev/null
+++ b/standins/layouts.py
@@ -0,0 +1,206 @@
+"""The layouts of the two users: places, VMs, services, delays and load."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+__all__ = ["LAYOUTS", "Layout", "ServiceLayout", "Zone", "configuration", "vm_list"]
+
+ENTRY_PORT = 8400
+ENDPOINT_PORT = 9000
+PLATFORM_ADDRESS = "127.9.0.1"
+PLATFORM_PORT = 9100
+ENTRY_VMS = 11
+ZONES_PER_REGION = 2
+
+
+@dataclass(frozen=True)
+class Zone:
+    """An availability zone; `region_index` and `index` give its 127.x.y addresses."""
+
+    name: str
+    region: str
+    region_index: int
+    index: int
+
+    def address(self, host: int) -> str:
+        """Returns the address of a host of this zone."""
+        return f"127.{self.region_index}.{self.index}.{host}"
+
+
+@dataclass(frozen=True)
+class ServiceLayout:
+    """A merged service: endpoints, slots each, and requests a second by class."""
+
+    name: str
+    endpoints: int
+    slots: int
+    rates: dict[str, float]
+
+
+@dataclass(frozen=True)
+class Layout:
+    """One user's system; delays are one way."""
+
+    name: str
+    fleets: tuple[str, ...]
+    regions: tuple[str, ...]
+    zone_names: tuple[str, ...]
+    zone_delay_ms: float
+    region_delay_ms: float
+    link_mbit: int
+    headroom_percent: int
+    services: tuple[ServiceLayout, ...]
+
+    @property
+    def zones(self) -> list[Zone]:
+        """The availability zones, two in each region."""
+        return [
+            Zone(
+                name,
+                self.regions[i // ZONES_PER_REGION],
+                i // ZONES_PER_REGION + 1,
+                i % ZONES_PER_REGION + 1,
+            )
+            for i, name in enumerate(self.zone_names)
+        ]
+
+    def delay_ms(self, source: str, target: str) -> float:
+        """Returns the delay one way between two 127.x addresses."""
+        a, b = source.split(".")[1:3], target.split(".")[1:3]
+        if a == b:
+            return 0.0
+        return self.zone_delay_ms if a[0] == b[0] else self.region_delay_ms
+
+
+LAYOUTS = {
+    "prairie": Layout(
+        "prairie",
+        ("maple", "harrow", "bluestem"),
+        ("Saskatchewan", "Manitoba", "Alberta"),
+        ("Regina", "Saskatoon", "Winnipeg", "Brandon", "Calgary", "Edmonton"),
+        3.0,
+        35.0,
+        4000,
+        20,
+        (
+            ServiceLayout("order-desk", 30, 9, {"browse": 110, "confirm": 30, "payment": 15}),
+            ServiceLayout("proof-studio", 12, 3, {"photo": 9}),
+        ),
+    ),
+    "cire": Layout(
+        "cire",
+        ("abeille", "bougie", "ruche"),
+        ("Nord", "Plateau", "Sud"),
+        ("Triolet", "Grand Baie", "Moka", "Vacoas", "Surinam", "Mahébourg"),
+        5.0,
+        20.0,
+        300,
+        30,
+        (
+            ServiceLayout("waxdesk", 30, 5, {"browse": 110, "confirm": 30, "payment": 15}),
+            ServiceLayout("growerfiles", 12, 3, {"photo": 6}),
+        ),
+    ),
+}
+
+
+def endpoints(layout: Layout) -> list[dict[str, Any]]:
+    """Returns all endpoints; fleets use the same VM and service names."""
+    found = []
+    for service_index, service in enumerate(layout.services):
+        for number in range(service.endpoints):
+            zone = layout.zones[number % len(layout.zones)]
+            fleet = layout.fleets[number % len(layout.fleets)]
+            host = 10 + 40 * service_index + number // len(layout.zones)
+            found.append(
+                {
+                    "name": f"{fleet}/{service.name}-{number // len(layout.fleets) + 1}",
+                    "service": f"{fleet}/{service.name}",
+                    "address": zone.address(host),
+                    "port": ENDPOINT_PORT,
+                    "zone": zone.name,
+                    "region": zone.region,
+                    "slots": service.slots,
+                    "state": "live",
+                }
+            )
+    return found
+
+
+def entry_vms(layout: Layout, count: int = ENTRY_VMS) -> list[dict[str, Any]]:
+    """Returns the entry VMs, spread over the zones."""
+    found = []
+    for number in range(count):
+        zone = layout.zones[number % len(layout.zones)]
+        found.append(
+            {
+                "name": f"{layout.fleets[0]}/entry-{number + 1}",
+                "address": zone.address(200 + number // len(layout.zones)),
+                "port": ENTRY_PORT,
+                "zone": zone.name,
+                "region": zone.region,
+                "state": "live",
+            }
+        )
+    return found
+
+
+def vm_list(layout: Layout) -> dict[str, Any]:
+    """Returns the platform's list at its first revision."""
+    return {"revision": 1, "endpoints": endpoints(layout), "entries": entry_vms(layout)}
+
+
+def caller_block(region_index: int) -> str:
+    """Returns the client block of a region, counted from 1."""
+    return f"127.{100 + region_index}.0.0/16"
+
+
+def configuration(layout: Layout) -> dict[str, Any]:
+    """Returns the operators' configuration."""
+    names = list(layout.regions)
+    pairs = [(a, b) for a in names for b in names if a != b]
+    return {
+        "fleets": [{"name": fleet} for fleet in layout.fleets],
+        "regions": [
+            {
+                "name": name,
+                "client_blocks": [caller_block(index + 1)],
+                "fallback": [other for other in names if other != name],
+            }
+            for index, name in enumerate(names)
+        ],
+        "services": [_service(layout, service) for service in layout.services],
+        "shift_caps": [
+            {"service": s.name, "from_region": a, "to_region": b, "requests_per_second": 20}
+            for s in layout.services
+            for a, b in pairs
+        ],
+        "links": [
+            {"from_region": a, "to_region": b, "mbit_per_second": layout.link_mbit}
+            for a, b in pairs
+        ],
+    }
+
+
+def _service(layout: Layout, service: ServiceLayout) -> dict[str, Any]:
+    """Returns the declaration of a service."""
+    shapes: dict[str, dict[str, Any]] = {
+        "browse": {"methods": ["GET"], "path_prefix": "/browse", "answer_target_ms": 100,
+                   "deadline_ms": 2000},
+        "confirm": {"methods": ["POST"], "path_prefix": "/confirm", "protected": True,
+                    "answer_target_ms": 200, "deadline_ms": 5000},
+        "payment": {"methods": ["POST"], "path_prefix": "/payment", "protected": True,
+                    "answer_target_ms": 250, "deadline_ms": 5000},
+        "photo": {"methods": ["PUT"], "path_prefix": "/photo", "protected": True,
+                  "upload": True, "answer_target_ms": 2000, "deadline_ms": 30000},
+    }  # fmt: skip
+    return {
+        "name": service.name,
+        "members": [f"{fleet}/{service.name}" for fleet in layout.fleets],
+        "classes": [
+            {"name": name, "headroom_percent": layout.headroom_percent, **shapes[name]}
+            for name in service.rates
+        ],
+    }
--- /dev/null
+++ b/tests/test_configuration.py
@@ -0,0 +1,103 @@
+"""Tests of settings and configuration files."""
+
+import unittest
+
+from returns.result import Failure, Success
+
+from lycheepin.configuration import (
+    ConfigurationView,
+    check_configuration,
+    check_settings,
+    decode_change,
+    encode_change,
+    follow_change,
+)
+from lycheepin.generated.settings import Configuration, DaemonSettings
+from lycheepin.names import FleetName, QualifiedName, ServiceName
+from standins.layouts import LAYOUTS, configuration
+
+MISTAKES = """{
+  // two fleets
+  "fleets": [{"name": "a"}, {"nme": "b"}],
+  "regions": [{"name": "north", "client_blocks": ["10.0.0.0/33"]}],
+  "services": [{"name": "desk", "members": ["x/desk"], "classes": [
+    {"name": "browse", "answer_target_ms": 0}
+  ]}],
+  "weights": 3
+}"""
+
+
+def build(value: dict) -> Configuration:
+    """Returns the configuration of a plain value that has no mistakes."""
+    return check_configuration(value).unwrap()
+
+
+class CheckTest(unittest.TestCase):
+    def test_names_file_line_field_value_and_allowed(self) -> None:
+        mistakes = check_settings(Configuration, MISTAKES, "f.jsonc").failure()
+        texts = [str(mistake) for mistake in mistakes]
+        self.assertIn(
+            "f.jsonc:8: weights: unknown field 'weights'; the nearest known field is 'fleets'",
+            texts,
+        )
+        self.assertIn(
+            "f.jsonc:6: services[0].classes[0].answer_target_ms: given 0; allowed: 1 to 600000",
+            texts,
+        )
+        self.assertIn(
+            "f.jsonc:3: fleets[1].nme: unknown field 'nme'; the nearest known field is 'name'",
+            texts,
+        )
+
+    def test_reports_syntax_with_line(self) -> None:
+        match check_settings(Configuration, '{\n "fleets": [\n', "f.jsonc"):
+            case Failure((mistake,)):
+                self.assertEqual(mistake.field, "(syntax)")
+            case other:
+                self.fail(f"{other}")
+
+    def test_cross_field_mistakes(self) -> None:
+        value = configuration(LAYOUTS["prairie"])
+        value["services"][0]["members"].append("nobody/desk")
+        value["shift_caps"][0]["to_region"] = "Atlantis"
+        fields = [problem.field for problem in check_configuration(value).failure()]
+        self.assertEqual(fields, ["services[0].members[3]", "shift_caps[0].to_region"])
+
+    def test_settings_apply_defaults(self) -> None:
+        text = """{"vm": "a/vm-1", "zone": "z", "region": "r", "address": "127.0.0.1",
+          "store": {"host": "127.0.0.1", "port": 1}, "vm_list": {"host": "127.0.0.1", "port": 1},
+          "peer_key": "0123456789abcdef"} // end"""
+        settings = check_settings(DaemonSettings, text, "s").unwrap()
+        self.assertEqual((settings.port, settings.peers), (8400, ()))
+
+
+class ChangeTest(unittest.TestCase):
+    def test_round_trip_and_order(self) -> None:
+        document = build(configuration(LAYOUTS["cire"]))
+        first = follow_change(None, "c1", "ann", "first", document)
+        second = follow_change(first, "c2", "bob", "second", document)
+        self.assertEqual(decode_change(encode_change(second)), Success(second))
+        self.assertEqual((second.number, second.history[0]["change_id"]), (2, "c1"))
+
+    def test_broken_content_is_refused(self) -> None:
+        for content in (b"", b"[]", b'{"number": 1}', b"\xff"):
+            self.assertIsInstance(decode_change(content), Failure)
+
+
+class FleetNamesTest(unittest.TestCase):
+    def test_services_of_the_same_name_do_not_meet(self) -> None:
+        value = configuration(LAYOUTS["prairie"])
+        value["services"][0]["members"] = ["maple/order-desk"]
+        value["services"].append(
+            {**value["services"][0], "name": "other-desk", "members": ["harrow/order-desk"]}
+        )
+        view = ConfigurationView(build(value))
+        ours = view.service_of(QualifiedName(FleetName("maple"), "order-desk"))
+        theirs = view.service_of(QualifiedName(FleetName("harrow"), "order-desk"))
+        self.assertEqual((ours, theirs), ("order-desk", "other-desk"))
+
+    def test_longest_prefix_decides_the_class(self) -> None:
+        view = ConfigurationView(build(configuration(LAYOUTS["prairie"])))
+        work = view.classify(ServiceName("order-desk"), "POST", "/payment/7")
+        self.assertEqual(work.name if work else None, "payment")
+        self.assertIsNone(view.classify(ServiceName("order-desk"), "PATCH", "/payment/7"))
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Developers' tools: code generation and the test runner."""
