Fault matrix; ended holders are known to any planner, however young

Cause: make matrix, cell 'holder killed twice': slots were never granted again. A planner knew an ended incarnation only if it had itself seen both predecessor and successor; a replaced planner had no such memory and took the holder for a silent one for ever. Ruled out: lost reports (they arrive), a lost plan write (no conflict recorded). Change: the plan carries each holder's address and the VM list revision used; a holder has ended when a later incarnation answers at its address, or when a list at least that late does not have the VM and nothing is heard for longer than the list lags. Conclusion: silence is still not death, but a successor is proof for everybody.

--- a/lycheepin/daemon/control.py
+++ b/lycheepin/daemon/control.py
@@ -182,12 +182,14 @@
     """Returns the plan to follow the one in force, or None when it fits."""
     assert node.vms is not None
     cell = peers.cell_members()
+    listed = {entry.address for entry in node.vms.entries}
     holders = [
         HolderVm(member.incarnation, member.zone)
         for member in cell
         if member.state is MemberState.ALIVE
+        and (member.address in listed or member.incarnation in node.plan.grants)
     ]
-    ended = node.membership.ended()
+    ended = node.ended_holders()
     present = {member.incarnation for member in cell}
     silent = frozenset(node.plan.holders - present - ended)
     zones = {slot_resource(endpoint): endpoint.zone for endpoint in node.vms.endpoints}
@@ -205,6 +207,8 @@
         clear=frozenset(item.holder for item in current if item.report.clear),
         ended=ended,
         now_ms=node.clock.wall_ms(),
+        addresses={m.incarnation: m.address for m in peers.cell_members()},
+        vm_revision=node.replicas.revision(node.vms_name),
     )
 
 
--- a/lycheepin/daemon/node.py
+++ b/lycheepin/daemon/node.py
@@ -83,8 +83,9 @@
         self.leaving = False
         self.in_flight = 0
         self.on_capacity: Callable[[], None] = lambda: None
-        self._listed: set[Address] = set()
+        self._listed: frozenset[Address] = frozenset()
         self._absent_since_s: dict[Address, float] = {}
+        self._gone: set[Address] = set()
 
     def accept(self, copy: Copy) -> bool:
         """Puts a later revision of a document in force; returns whether it was one."""
@@ -135,30 +136,60 @@
 
     def _compare_entries(self, vms: VmList) -> None:
         """Notes which entry VMs the platform's list has, and since when others are gone."""
-        now_s = self.clock.monotonic()
-        present = {entry.address for entry in vms.entries}
         for entry in vms.entries:
             if entry.state is VmState.LIVE:
                 self.membership.propose(entry.address, entry.port)
-        for address in self._listed - present:
-            self._absent_since_s.setdefault(address, now_s)
-        for address in present:
-            self._absent_since_s.pop(address, None)
-        self._listed |= present
-
-    def forget_gone_members(self) -> None:
-        """Forgets members that are unreachable and gone from the list for longer than it lags."""
+        self._listed = frozenset(entry.address for entry in vms.entries)
+
+    def ended_holders(self) -> frozenset[Incarnation]:
+        """Returns the holders of the plan whose process is known to have ended.
+
+        That is so when a later process answers at the same address, or when the VM has been gone
+        from the platform's list, and silent, for longer than the list lags.
+        """
+        return frozenset(
+            holder
+            for holder in self.plan.grants
+            if holder in self.membership.ended() or self._is_replaced(holder)
+        )
+
+    def _is_replaced(self, holder: Incarnation) -> bool:
+        """Returns whether a holder has a successor, or its VM is gone."""
+        address = self.plan.addresses.get(holder)
+        if address is None:
+            return False
+        member = self.membership.get(address)
+        if member is not None and member.incarnation > holder:
+            return True
+        return address in self._gone
+
+    def update_gone(self) -> None:
+        """Notes which VMs of holders are gone, and forgets the members there.
+
+        A holder was in the list when it got its first grant, so a list that is at least as late
+        and does not have it says that it is gone.
+        """
         now_s = self.clock.monotonic()
-        for address, since_s in list(self._absent_since_s.items()):
-            member = self.membership.get(address)
-            if member is None or member is self.membership.own:
-                del self._absent_since_s[address]
-                continue
-            silent = member.state is MemberState.UNREACHABLE
-            if silent and now_s - since_s > VM_LIST_LAG_S:
+        current = self.vms is not None and self.vms.revision >= self.plan.vm_revision
+        absent = {
+            address
+            for address in self.plan.addresses.values()
+            if current and address not in self._listed and self._is_silent(address)
+        }
+        for address in self._absent_since_s.keys() - absent:
+            del self._absent_since_s[address]
+        for address in absent:
+            since_s = self._absent_since_s.setdefault(address, now_s)
+            if now_s - since_s > VM_LIST_LAG_S and address not in self._gone:
+                self._gone.add(address)
                 self.membership.forget(address)
-                del self._absent_since_s[address]
-                self.events.record("member_ended", member.vm)
+                self.events.record("vm_gone", address)
+        self._gone &= absent
+
+    def _is_silent(self, address: Address) -> bool:
+        """Returns whether nothing is heard from an address."""
+        member = self.membership.get(address)
+        return member is None or member.state is MemberState.UNREACHABLE
 
     def refresh(self) -> None:
         """Recomputes what follows from the documents and from loans."""
--- a/lycheepin/daemon/peers.py
+++ b/lycheepin/daemon/peers.py
@@ -99,7 +99,7 @@
         """Sends heartbeats, reports and loans that are due."""
         node = self._node
         self._send_all(node.membership.advance(now_s))
-        node.forget_gone_members()
+        node.update_gone()
         self._note_changes()
         self._report(now_s)
         if now_s - self._loans_checked_s >= LOAN_RETRY_S:
--- a/lycheepin/steering/plan.py
+++ b/lycheepin/steering/plan.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from lycheepin.names import Incarnation, Resource, Revision
+from lycheepin.names import Address, Incarnation, Resource, Revision
 
 __all__ = ["Caps", "Evidence", "Grant", "Plan", "decode_plan", "encode_plan", "revise_plan"]
 
@@ -33,11 +33,18 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """The grants of one cell; `revision` rises by one with each plan."""
+    """The grants of one cell; `revision` rises by one with each plan.
+
+    `addresses` tells where each holder runs, so that any planner, however young, can see from
+    the members and the VM list that a holder has ended. `vm_revision` is the latest VM list that
+    a planner has used.
+    """
 
     revision: Revision = Revision(0)
     grants: Grants = field(default_factory=dict)
     retired: Mapping[Incarnation, int] = field(default_factory=dict)
+    addresses: Mapping[Incarnation, Address] = field(default_factory=dict)
+    vm_revision: Revision = Revision(0)
 
     @property
     def holders(self) -> frozenset[Incarnation]:
@@ -77,6 +84,8 @@
     clear: frozenset[Incarnation]
     ended: frozenset[Incarnation]
     now_ms: int
+    addresses: Mapping[Incarnation, Address] = field(default_factory=dict)
+    vm_revision: Revision = Revision(0)
 
 
 def revise_plan(plan: Plan, caps: Caps, desired: Desired, evidence: Evidence) -> Plan | None:
@@ -94,7 +103,10 @@
     }
     if kept == plan.grants and retired == plan.retired:
         return None
-    return Plan(Revision(plan.revision + 1), kept, retired)
+    known = {**evidence.addresses, **plan.addresses}
+    addresses = {holder: known[holder] for holder in kept if holder in known}
+    vm_revision = max(plan.vm_revision, evidence.vm_revision)
+    return Plan(Revision(plan.revision + 1), kept, retired, addresses, vm_revision)
 
 
 def _confirm(plan: Plan, evidence: Evidence) -> dict[Incarnation, dict[Resource, Grant]]:
@@ -188,6 +200,8 @@
             for holder, held in plan.grants.items()
         },
         "retired": {str(holder): since_ms for holder, since_ms in plan.retired.items()},
+        "addresses": {str(holder): address for holder, address in plan.addresses.items()},
+        "vm_revision": plan.vm_revision,
     }
     return json.dumps(value, separators=(",", ":")).encode()
 
@@ -203,4 +217,6 @@
         for holder, held in value["grants"].items()
     }
     retired = {Incarnation(int(holder)): int(ms) for holder, ms in value["retired"].items()}
-    return Plan(Revision(int(value["revision"])), grants, retired)
+    addresses = {Incarnation(int(h)): Address(a) for h, a in value["addresses"].items()}
+    revision, vm_revision = Revision(int(value["revision"])), Revision(int(value["vm_revision"]))
+    return Plan(revision, grants, retired, addresses, vm_revision)
--- /dev/null
+++ b/matrix/real.py
@@ -0,0 +1,458 @@
+"""Cells on real processes: one system under steady load, one fault after the other."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import signal
+import subprocess
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from matrix.cells import Cell, CellState
+from standins.lab import VIOLATIONS, Lab, check, region_caps
+from standins.layouts import LAYOUTS
+from standins.layouts import endpoints as list_endpoints
+
+__all__ = ["run_real_cells"]
+
+SEED = 11
+MAX_LOAD_S = 240.0
+HEAL_TIMEOUT_S = 25.0
+NO_NEW_WORK_S = 3.0
+IN_FORCE_S = 6.0
+KV_CONFIG = "config"
+
+
+class Bench:
+    """The system under test and what the cells need of it."""
+
+    def __init__(self, lab: Lab) -> None:
+        self.lab = lab
+
+    def entry(self, name: str) -> dict[str, Any]:
+        """Returns an entry VM by its name."""
+        return next(entry for entry in self.lab.entries if entry["name"] == name)
+
+    def statuses(self) -> dict[str, dict[str, Any]]:
+        """Returns the status of each daemon that answers."""
+        found = {entry["name"]: self.lab.status(entry) for entry in self.lab.entries}
+        return {name: status for name, status in found.items() if status is not None}
+
+    def holder(self, region: str = "Saskatchewan") -> str:
+        """Returns the daemon of a region with the most slots of order-desk."""
+        slots = {
+            name: sum(x["granted"] for x in status["loads"] if x["service"] == "order-desk")
+            for name, status in self.statuses().items()
+            if status["region"] == region
+        }
+        return max(slots, key=lambda name: slots[name])
+
+    def planner(self, region: str = "Saskatchewan") -> str:
+        """Returns the planner of a region."""
+        return next(s["planner"] for s in self.statuses().values() if s["region"] == region)
+
+    def number(self) -> int:
+        """Returns the number of the configuration in force."""
+        return max(status["configuration"] for status in self.statuses().values())
+
+    def kill(self, name: str) -> None:
+        """Kills a daemon."""
+        self.lab.signal_daemon(name, signal.SIGKILL)
+        self.lab.daemons[name].wait()
+
+    def replace(self, name: str) -> None:
+        """Kills a daemon and starts its successor at the same address."""
+        self.kill(name)
+        self.lab.start_daemon(self.entry(name))
+
+    def freeze(self, *names: str, seconds: float) -> None:
+        """Stops daemons for some seconds."""
+        for name in names:
+            self.lab.signal_daemon(name, signal.SIGSTOP)
+        time.sleep(seconds)
+        for name in names:
+            self.lab.signal_daemon(name, signal.SIGCONT)
+
+    def heal(self) -> None:
+        """Waits until all slots are granted again; raises TimeoutError."""
+        self.lab.await_true(self.lab.is_settled, "all slots granted", HEAL_TIMEOUT_S)
+
+    def faults(self, **values: float) -> None:
+        """Sets faults of the platform."""
+        self.lab.platform_call("faults", values)
+
+    def expect(self, condition: bool, text: str) -> None:
+        """Raises AssertionError when a condition does not hold."""
+        if not condition:
+            raise AssertionError(text)
+
+    def apply(self, *options: str, entry: int = 0) -> subprocess.CompletedProcess[bytes]:
+        """Applies the configuration in force once more."""
+        shown = json.loads(self.lab.command("config", "show").stdout)
+        file = self.lab.folder / f"again-{entry}.jsonc"
+        file.write_text(json.dumps(shown["document"]), encoding="utf-8")
+        return self.lab.command("config", "apply", str(file), *options, entry=entry)
+
+    def starts_after(self, name: str, since_s: float) -> int:
+        """Returns the requests that an endpoint began after a monotonic time."""
+        total = 0
+        for index in range(1, len(self.lab.layout.regions) + 1):
+            starts = self.lab.endpoint_call(index, "records")["starts"].get(name, [])
+            total += sum(start > since_s for start in starts)
+        return total
+
+
+def daemon_killed(bench: Bench) -> None:
+    """A holder is killed with requests in flight and replaced at its address."""
+    bench.replace(bench.holder())
+    bench.heal()
+
+
+def daemon_killed_twice(bench: Bench) -> None:
+    """The same daemon is killed again before the plan has healed."""
+    name = bench.holder()
+    bench.replace(name)
+    time.sleep(1.0)
+    bench.replace(name)
+    bench.heal()
+
+
+def two_killed(bench: Bench) -> None:
+    """Two daemons of a region are killed at once."""
+    first = bench.holder("Alberta")
+    second = next(n for n, s in bench.statuses().items() if s["region"] == "Alberta" and n != first)
+    bench.kill(first)
+    bench.kill(second)
+    time.sleep(1.0)
+    bench.lab.start_daemon(bench.entry(first))
+    bench.lab.start_daemon(bench.entry(second))
+    bench.heal()
+
+
+def holder_frozen(bench: Bench) -> None:
+    """A holder is stopped, believed unreachable, and resumed."""
+    bench.freeze(bench.holder(), seconds=5.0)
+    bench.heal()
+
+
+def holder_frozen_twice(bench: Bench) -> None:
+    """The same holder is stopped twice."""
+    name = bench.holder()
+    bench.freeze(name, seconds=2.0)
+    bench.freeze(name, seconds=2.0)
+    bench.heal()
+
+
+def planner_killed(bench: Bench) -> None:
+    """The planner is killed and replaced."""
+    bench.replace(bench.planner("Manitoba"))
+    bench.heal()
+
+
+def planner_frozen(bench: Bench) -> None:
+    """The planner is stopped while another one plans, and resumed."""
+    planner = bench.planner("Manitoba")
+    bench.lab.signal_daemon(planner, signal.SIGSTOP)
+    victim = next(
+        n for n, s in bench.statuses().items() if s["region"] == "Manitoba" and n != planner
+    )
+    bench.replace(victim)
+    time.sleep(5.0)
+    bench.lab.signal_daemon(planner, signal.SIGCONT)
+    bench.heal()
+
+
+def region_frozen(bench: Bench) -> None:
+    """All daemons of a region are stopped and resumed."""
+    names = [n for n, s in bench.statuses().items() if s["region"] == "Manitoba"]
+    bench.freeze(*names, seconds=5.0)
+    bench.heal()
+
+
+def store_down(bench: Bench) -> None:
+    """The store is down; look-ups and requests go on."""
+    before = sum(s["metrics"]["counters"].get("requests", 0) for s in bench.statuses().values())
+    bench.faults(down_s=4.0)
+    time.sleep(4.0)
+    after = sum(s["metrics"]["counters"].get("requests", 0) for s in bench.statuses().values())
+    bench.expect(after > before + 100, f"requests went from {before} to {after}")
+
+
+def store_down_at_write(bench: Bench) -> None:
+    """The store is down for all of a write: nothing is claimed, nothing changes."""
+    number = bench.number()
+    bench.faults(down_s=5.0)
+    result = bench.apply()
+    bench.expect(result.returncode == 1, f"exit {result.returncode}")
+    time.sleep(4.0)
+    bench.expect(bench.number() == number, f"number {number} became {bench.number()}")
+
+
+def store_slow_at_write(bench: Bench) -> None:
+    """The store takes a second for each call; the change is in force within 6 s."""
+    bench.faults(slow_s=1.0)
+    started_s = time.monotonic()
+    try:
+        result = bench.apply()
+        bench.expect(result.returncode == 0, result.stderr.decode())
+        bench.expect(time.monotonic() - started_s < IN_FORCE_S + 3, "not in force in time")
+    finally:
+        bench.faults(slow_s=0.0)
+
+
+def answer_lost_at_write(bench: Bench) -> None:
+    """The answer to the write is lost after it took effect: one change, reported as done."""
+    number = bench.number()
+    bench.faults(lose_answers=1)
+    result = bench.apply("--author", "lost")
+    bench.expect(result.returncode == 0, result.stderr.decode())
+    bench.expect(bench.number() == number + 1, f"number {number} became {bench.number()}")
+
+
+def answer_lost_at_plan(bench: Bench) -> None:
+    """The answer to a plan's write is lost after it took effect."""
+    bench.faults(lose_answers=2)
+    bench.replace(bench.holder("Manitoba"))
+    bench.heal()
+    bench.faults(lose_answers=0)
+
+
+def operators_race(bench: Bench) -> None:
+    """Two operators change the same configuration: one wins, the other is told by whom."""
+    base = str(bench.number())
+    with ThreadPoolExecutor() as pool:
+        jobs = [
+            pool.submit(bench.apply, "--base", base, "--author", author, entry=entry)
+            for author, entry in (("ann", 1), ("bob", 2))
+        ]
+        results = [job.result() for job in jobs]
+    codes = sorted(result.returncode for result in results)
+    bench.expect(codes == [0, 4], f"exits {codes}")
+    loser = next(result for result in results if result.returncode == 4)
+    text = loser.stderr.decode()
+    bench.expect("by ann" in text or "by bob" in text, text)
+
+
+def drains_race(bench: Bench) -> None:
+    """Two operators plan different drains at once: both are kept."""
+    names = ("maple/order-desk-2", "harrow/order-desk-3")
+    with ThreadPoolExecutor() as pool:
+        jobs = [
+            pool.submit(bench.lab.command, "drain", "start", "endpoint", name, entry=index)
+            for index, name in enumerate(names)
+        ]
+        codes = [job.result().returncode for job in jobs]
+    listed = bench.lab.command("drain", "list").stdout.decode()
+    for name in names:
+        bench.lab.command("drain", "stop", "endpoint", name)
+    bench.expect(codes == [0, 0], f"exits {codes}")
+    bench.expect(all(name in listed for name in names), listed)
+    bench.heal()
+
+
+def endpoint_drained(bench: Bench) -> None:
+    """A drained endpoint gets no new work after 3 s, and work again after the drain."""
+    name = "maple/order-desk-1"
+    bench.lab.command("drain", "start", "endpoint", name)
+    since_s = time.monotonic() + NO_NEW_WORK_S
+    time.sleep(NO_NEW_WORK_S + 3.0)
+    started = bench.starts_after(name, since_s)
+    bench.lab.command("drain", "stop", "endpoint", name)
+    bench.expect(started == 0, f"{started} requests began after the drain")
+    bench.heal()
+
+
+def endpoint_leaving(bench: Bench) -> None:
+    """An endpoint that the VM list reports as leaving gets no new work after 3 s."""
+    name = "harrow/order-desk-1"
+    bench.lab.platform_call("vms", {"name": name, "state": "leaving"})
+    since_s = time.monotonic() + NO_NEW_WORK_S
+    time.sleep(NO_NEW_WORK_S + 3.0)
+    started = bench.starts_after(name, since_s)
+    bench.lab.platform_call("vms", {"name": name, "state": "live"})
+    bench.expect(started == 0, f"{started} requests began after it was leaving")
+    bench.heal()
+
+
+def entry_drained(bench: Bench) -> None:
+    """A drained entry VM is not named in look-ups after 3 s."""
+    name = bench.holder("Alberta")
+    address = bench.entry(name)["address"]
+    bench.lab.command("drain", "start", "entry_vm", name)
+    time.sleep(NO_NEW_WORK_S)
+    answers = [
+        bench.lab.command("lookup", "maple/order-desk", "127.103.0.9", entry=i).stdout.decode()
+        for i in range(3)
+    ]
+    bench.lab.command("drain", "stop", "entry_vm", name)
+    bench.expect(not any(address + ":" in answer for answer in answers), f"named {address}")
+    bench.heal()
+
+
+def region_drained(bench: Bench) -> None:
+    """A drained region gets no new work after 3 s; its callers are shifted under the cap."""
+    bench.lab.command("drain", "start", "region", "Alberta")
+    since_s = time.monotonic() + NO_NEW_WORK_S
+    time.sleep(NO_NEW_WORK_S + 2.0)
+    names = [vm for vm, _ in _endpoints(bench, "Alberta")]
+    started = sum(bench.starts_after(name, since_s) for name in names)
+    bench.lab.command("drain", "stop", "region", "Alberta")
+    bench.expect(started == 0, f"{started} requests began in the region after the drain")
+    bench.heal()
+
+
+def _endpoints(bench: Bench, region: str) -> list[tuple[str, str]]:
+    """Returns name and address of the endpoints of a region."""
+    listed = list_endpoints(bench.lab.layout)
+    return [(e["name"], e["address"]) for e in listed if e["region"] == region]
+
+
+def daemon_terminated(bench: Bench) -> None:
+    """SIGTERM: the daemon ends with status 0 after its requests have ended."""
+    name = bench.holder()
+    bench.lab.signal_daemon(name, signal.SIGTERM)
+    status = bench.lab.daemons[name].wait(30)
+    bench.lab.start_daemon(bench.entry(name))
+    bench.expect(status == 0, f"exit {status}")
+    bench.heal()
+
+
+def restart_while_store_down(bench: Bench) -> None:
+    """A daemon is replaced while the store is down: it gets the latest from its peers."""
+    number = bench.number()
+    name = bench.holder("Alberta")
+    bench.faults(down_s=6.0)
+    bench.replace(name)
+    bench.lab.await_true(
+        lambda: (bench.lab.status(bench.entry(name)) or {}).get("configuration") == number,
+        "the configuration from a peer",
+        5.0,
+    )
+    bench.heal()
+
+
+def freeze_while_store_down(bench: Bench) -> None:
+    """Two at once: a holder is stopped while the store is down."""
+    bench.faults(down_s=5.0)
+    bench.freeze(bench.holder(), seconds=4.0)
+    bench.heal()
+
+
+def store_rolled_back(bench: Bench) -> None:
+    """The store comes back with an older configuration: nobody reverts, and changes go on."""
+    number = bench.number()
+    old = (bench.lab.folder / "first.json").read_text()
+    bench.lab.platform_call("restore", {"key": KV_CONFIG, "content": old})
+    time.sleep(2.0)
+    lowest = min(status["configuration"] for status in bench.statuses().values())
+    bench.expect(lowest == number, f"a daemon went from {number} to {lowest}")
+    result = bench.apply()
+    bench.expect(result.returncode == 0, result.stderr.decode())
+    bench.expect(bench.number() == number + 1, f"number is {bench.number()}")
+
+
+def endpoints_slow(bench: Bench) -> None:
+    """A third of the endpoints of a region become slow while their reports stay healthy."""
+    addresses = [address for _, address in _endpoints(bench, "Saskatchewan")][::3]
+    bench.lab.endpoint_call(1, "set", {"addresses": addresses, "slow": 6.0})
+    time.sleep(4.0)
+    bench.lab.endpoint_call(1, "set", {"addresses": addresses, "slow": 1.0})
+
+
+def endpoints_shed(bench: Bench) -> None:
+    """Half of the requests at all endpoints of a region are shed."""
+    addresses = [address for _, address in _endpoints(bench, "Manitoba")]
+    bench.lab.endpoint_call(2, "set", {"addresses": addresses, "shed": 0.5})
+    time.sleep(4.0)
+    bench.lab.endpoint_call(2, "set", {"addresses": addresses, "shed": 0.0})
+
+
+CELLS: tuple[tuple[str, str, str, Callable[[Bench], None]], ...] = (
+    ("request", "in flight", "holder killed", daemon_killed),
+    ("request", "in flight", "holder killed twice", daemon_killed_twice),
+    ("request", "in flight", "two daemons killed at once", two_killed),
+    ("request", "in flight", "holder frozen, resumed", holder_frozen),
+    ("request", "in flight", "holder frozen twice", holder_frozen_twice),
+    ("request", "in flight", "region frozen, resumed", region_frozen),
+    ("request", "at endpoint", "a third slow, reports healthy", endpoints_slow),
+    ("request", "at endpoint", "half of requests shed", endpoints_shed),
+    ("look-up", "answer", "store down", store_down),
+    ("plan", "compute", "planner killed", planner_killed),
+    ("plan", "compute", "planner frozen, resumed", planner_frozen),
+    ("plan", "write", "answer lost after the write", answer_lost_at_plan),
+    ("plan", "apply", "store down, holder frozen", freeze_while_store_down),
+    ("configuration", "write", "store down", store_down_at_write),
+    ("configuration", "write", "store slow", store_slow_at_write),
+    ("configuration", "write", "answer lost after the write", answer_lost_at_write),
+    ("configuration", "write", "operators race", operators_race),
+    ("configuration", "apply", "daemon replaced, store down", restart_while_store_down),
+    ("configuration", "spread", "store rolled back", store_rolled_back),
+    ("drain", "endpoint", "operators race", drains_race),
+    ("drain", "endpoint", "under load", endpoint_drained),
+    ("drain", "endpoint", "reported by the VM list", endpoint_leaving),
+    ("drain", "entry VM", "under load", entry_drained),
+    ("drain", "region", "under load", region_drained),
+    ("shutdown", "SIGTERM", "under load", daemon_terminated),
+)
+
+
+def run_real_cells(only: str = "") -> list[Cell]:
+    """Runs all cells under load and returns them with a cell of the final check."""
+    lab = Lab(LAYOUTS["prairie"], pathlib.Path("build/matrix"), ["dist/lycheepin"], SEED)
+    bench = Bench(lab)
+    cells: list[Cell] = []
+    try:
+        lab.start()
+        shown = lab.command("config", "show").stdout
+        first = {**json.loads(shown), "change_id": "first", "author": "lab", "summary": "first"}
+        (lab.folder / "first.json").write_text(json.dumps(first), encoding="utf-8")
+        callers = lab.start_callers(MAX_LOAD_S)
+        time.sleep(2.0)
+        for flow, step, fault, run in CELLS:
+            if only in run.__name__:
+                cells.append(_run_cell(bench, flow, step, fault, run))
+        for process in callers:
+            process.terminate()
+        for process in callers:
+            process.wait(60)
+        records, called = lab.collect()
+        report = check(lab.layout, records, called)
+        (lab.folder / "oracle.json").write_text(json.dumps(report, indent=1), encoding="utf-8")
+        broken = [f"{name} {report[name]}" for name in VIOLATIONS if report[name]]
+        state = CellState.FAIL if broken else CellState.PASS
+        note = ", ".join(broken) or f"{report['requests']} requests"
+        cells.append(Cell("real", "all", "records", "all of the above", state, note))
+    finally:
+        lab.stop()
+    return cells
+
+
+def _run_cell(bench: Bench, flow: str, step: str, fault: str, run: Callable[[Bench], None]) -> Cell:
+    """Runs one cell and judges it by its own checks and by the endpoints' records."""
+    started_s = time.monotonic()
+    note = ""
+    state = CellState.PASS
+    try:
+        run(bench)
+        _check_endpoints(bench)
+    except (AssertionError, TimeoutError, OSError, subprocess.SubprocessError) as error:
+        state, note = CellState.FAIL, f"{type(error).__name__}: {error}"
+    seconds = time.monotonic() - started_s
+    print(f"{state.value:5} {seconds:5.1f} s  {flow}: {step}: {fault} {note}", flush=True)
+    return Cell("real", flow, step, fault, state, note)
+
+
+def _check_endpoints(bench: Bench) -> None:
+    """Raises AssertionError when a region was over its cap or a protected request ran twice."""
+    layout = bench.lab.layout
+    caps = region_caps(layout)
+    for index, region in enumerate(layout.regions):
+        records = bench.lab.endpoint_call(index + 1, "records")
+        for service, peak in records["peaks"].items():
+            cap = caps[(region, service)]
+            bench.expect(peak <= cap, f"{region} {service}: {peak} in flight, cap {cap}")
+        twice = [t for t, n in records["runs"].items() if n > 1 and not t.endswith("-browse")]
+        bench.expect(not twice, f"ran twice: {twice[:3]}")
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -6,6 +6,7 @@
 import hashlib
 import json
 import random
+import signal
 import time
 from collections import Counter
 from dataclasses import dataclass, field
@@ -72,7 +73,11 @@
         started_s = loop.time()
         tasks = []
         plan = self._arrivals(seconds)
+        stopped = asyncio.Event()
+        loop.add_signal_handler(signal.SIGTERM, stopped.set)
         for due_s, fleet, service, kind in plan:
+            if stopped.is_set():
+                break
             await asyncio.sleep(max(0.0, started_s + due_s - loop.time()))
             tag = f"{self._index}-{len(tasks)}-{kind}"
             call = self._call(tag, fleet, service, kind, started_s + due_s)
