44 ms of delayed acknowledgements removed; look-ups cost the same at any size

Cause: the first run of the speed measurement gave 365 look-ups/s and 44 ms at p50, direct calls to the stand-in too. asyncio sets TCP_NODELAY only on sockets whose protocol is named; ours were made without one, so head and body of an answer waited for each other. Ruled out: the request path (a direct call was as slow), the load client. Change: listeners name TCP. A look-up draws from a table built when members or tokens change, where it ranked all members by a hash before.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,8 @@
 	$(BIN)/python -m tools.run_tests
 
 lint: $(VENV)/ready
-	$(BIN)/black -q --check lycheepin standins tools tests models matrix
-	$(BIN)/ruff check -q lycheepin standins tools tests models matrix
+	$(BIN)/black -q --check lycheepin standins tools tests models matrix measure
+	$(BIN)/ruff check -q lycheepin standins tools tests models matrix measure
 	$(BIN)/mypy
 	$(BIN)/python tools/generate.py --check
 
--- a/lycheepin/daemon/operators.py
+++ b/lycheepin/daemon/operators.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import json
+import random
 import secrets
 from typing import Any
 
@@ -27,7 +27,7 @@
 from lycheepin.names import FleetName, Incarnation, QualifiedName, RegionName, ServiceName
 from lycheepin.platform.store import Conflict, Missing, Store, StoreValue, Unavailable, Written
 from lycheepin.steering.homes import RequestId
-from lycheepin.steering.lookup import Candidate, order_candidates
+from lycheepin.steering.lookup import Candidate, LookupTable
 
 __all__ = ["Operators"]
 
@@ -47,7 +47,9 @@
         self._peers = peers
         self._store = store
         self._caller = caller
-        self._seeds = itertools.count(node.incarnation)
+        self._random = random.Random(node.incarnation)
+        self._tables: dict[ServiceName, LookupTable] = {}
+        self._tables_version: tuple[int, int, int] = (-1, -1, -1)
 
     # Look-ups
 
@@ -83,23 +85,39 @@
         """Returns the candidates for callers of a region, best first."""
         node = self._node
         assert node.view is not None
-        candidates = [
-            Candidate(
-                member.address,
-                member.port,
-                member.incarnation,
-                member.region,
-                node.tokens_of(member.incarnation, service),
-            )
-            for member in node.membership.reachable()
-            if member.state is MemberState.ALIVE
-        ]
         regions = [
             name
             for name in (region, *node.view.fallback(region))
             if not node.view.is_drained("region", name)
         ]
-        return order_candidates(candidates, regions, next(self._seeds))
+        return self._table(service).draw(regions, self._random)
+
+    def _table(self, service: ServiceName) -> LookupTable:
+        """Returns the table of a service, built anew after a change of members or documents."""
+        node = self._node
+        version = (
+            node.membership.version,
+            node.plan.revision,
+            node.replicas.revision(CONFIGURATION),
+        )
+        if version != self._tables_version:
+            self._tables = {}
+            self._tables_version = version
+        table = self._tables.get(service)
+        if table is None:
+            table = LookupTable(
+                Candidate(
+                    member.address,
+                    member.port,
+                    member.incarnation,
+                    member.region,
+                    node.tokens_of(member.incarnation, service),
+                )
+                for member in node.membership.reachable()
+                if member.state is MemberState.ALIVE
+            )
+            self._tables[service] = table
+        return table
 
     def explain(self, fleet: str, service: str, caller: str) -> dict[str, Any] | Fault:
         """Returns why a caller is sent where it is."""
--- a/lycheepin/daemon/process.py
+++ b/lycheepin/daemon/process.py
@@ -140,7 +140,9 @@
 
 def listen(address: str, port: int) -> socket.socket:
     """Returns a listening socket; raises OSError when the address is in use."""
-    listener = socket.socket(socket.AF_INET6 if ":" in address else socket.AF_INET)
+    family = socket.AF_INET6 if ":" in address else socket.AF_INET
+    # asyncio turns Nagle's algorithm off only on sockets that name TCP as their protocol.
+    listener = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((address, port))
     listener.listen(BACKLOG)
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: speed, slopes and policy. Figures go to build/measure/."""
--- /dev/null
+++ b/measure/load.py
@@ -0,0 +1,55 @@
+"""A closed-loop HTTP load on kept connections, and its latencies."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+
+from hdrh.histogram import HdrHistogram
+
+from lycheepin.daemon.connection import Connection
+
+__all__ = ["LoadResult", "run_load"]
+
+
+@dataclass(frozen=True)
+class LoadResult:
+    """Answers a second, and latencies in milliseconds."""
+
+    per_second: float
+    p50_ms: float
+    p99_ms: float
+    failures: int
+
+
+async def run_load(
+    source: str, host: str, port: int, head: bytes, connections: int, seconds: float
+) -> LoadResult:
+    """Returns the result of sending one request after the other on each connection."""
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    counts = [0, 0]
+    end_s = time.monotonic() + seconds
+
+    async def work() -> None:
+        loop = asyncio.get_running_loop()
+        _, connection = await loop.create_connection(Connection, host, port, local_addr=(source, 0))
+        while time.monotonic() < end_s:
+            started_s = time.monotonic()
+            connection.start(head)
+            answer = await connection.head()
+            async for _ in connection.body():
+                pass
+            histogram.record_value(max(1, int((time.monotonic() - started_s) * 1e6)))
+            counts[answer.status != 200] += 1
+        connection.close()
+
+    started_s = time.monotonic()
+    await asyncio.gather(*(work() for _ in range(connections)))
+    elapsed_s = time.monotonic() - started_s
+    return LoadResult(
+        counts[0] / elapsed_s,
+        histogram.get_value_at_percentile(50) / 1000,
+        histogram.get_value_at_percentile(99) / 1000,
+        counts[1],
+    )
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -120,6 +120,10 @@
         ]
         return records, callers
 
+    def endpoint_addresses(self) -> list[str]:
+        """Returns the addresses of all endpoints."""
+        return [endpoint["address"] for endpoint in list_endpoints(self.layout)]
+
     def endpoint_call(self, index: int, name: str, value: Any = None) -> Any:
         """Makes a control call to the endpoints of a region."""
         return _call(f"http://127.9.1.{index}:9000/control/{name}", value)
--- a/standins/layouts.py
+++ b/standins/layouts.py
@@ -52,6 +52,7 @@
     link_mbit: int
     headroom_percent: int
     services: tuple[ServiceLayout, ...]
+    entries: int = ENTRY_VMS
 
     @property
     def zones(self) -> list[Zone]:
@@ -103,6 +104,18 @@
             ServiceLayout("growerfiles", 12, 3, {"photo": 6}),
         ),
     ),
+    "solo": Layout(
+        "solo",
+        ("solo",),
+        ("Solo",),
+        ("One", "Two"),
+        0.0,
+        0.0,
+        1000,
+        20,
+        (ServiceLayout("desk", 4, 50, {"browse": 100}),),
+        entries=1,
+    ),
 }
 
 
@@ -129,10 +142,10 @@
     return found
 
 
-def entry_vms(layout: Layout, count: int = ENTRY_VMS) -> list[dict[str, Any]]:
+def entry_vms(layout: Layout) -> list[dict[str, Any]]:
     """Returns the entry VMs, spread over the zones."""
     found = []
-    for number in range(count):
+    for number in range(layout.entries):
         zone = layout.zones[number % len(layout.zones)]
         found.append(
             {
--- a/standins/serve.py
+++ b/standins/serve.py
@@ -49,7 +49,7 @@
 
 def _listen(host: str, port: int) -> socket.socket:
     """Returns a listening socket."""
-    listener = socket.socket()
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     listener.listen(1024)
--- a/tests/steering/test_blocks.py
+++ b/tests/steering/test_blocks.py
@@ -7,7 +7,7 @@
 
 from lycheepin.names import Address, Incarnation, RegionName
 from lycheepin.steering.blocks import BlockTable
-from lycheepin.steering.lookup import Candidate, order_candidates
+from lycheepin.steering.lookup import Candidate, LookupTable
 
 
 class BlockTableTest(unittest.TestCase):
@@ -42,9 +42,12 @@
         candidates.append(self.make(4, "b", 90))
         regions = [RegionName("a"), RegionName("b")]
         first: Counter[str] = Counter()
-        for seed in range(4000):
-            ordered = order_candidates(candidates, regions, seed)
+        table = LookupTable(candidates)
+        source = random.Random(3)
+        for _ in range(4000):
+            ordered = table.draw(regions, source)
             first[ordered[0].address] += 1
             self.assertEqual([c.region for c in ordered], ["a", "a", "a", "b"])
             self.assertEqual(ordered[2].tokens, 0)
+            self.assertEqual(len(set(ordered)), 4)
         self.assertAlmostEqual(first["127.0.0.1"] / 4000, 0.75, delta=0.03)
