--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 	$(BIN)/mypy
 	$(BIN)/python tools/generate.py --check
 
+measure-slopes: dist/lycheepin
+	@$(BIN)/python -m measure.slopes
+
 models: $(VENV)/ready
 	@$(BIN)/python -m models
 
--- a/lycheepin/cluster/membership.py
+++ b/lycheepin/cluster/membership.py
@@ -8,16 +8,26 @@
 
 from __future__ import annotations
 
+import json
 import math
 import random
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
 from enum import Enum
 
+from lycheepin.cluster.documents import compress, decompress
 from lycheepin.generated.messages import DocumentVersion, Heartbeat, MemberRecord
 from lycheepin.names import Address, Incarnation, RegionName, ZoneName
 
-__all__ = ["HeartbeatKind", "Member", "MemberState", "Membership", "Send"]
+__all__ = [
+    "HeartbeatKind",
+    "Member",
+    "MemberState",
+    "Membership",
+    "Send",
+    "decode_members",
+    "encode_members",
+]
 
 UPDATES_PER_HEARTBEAT = 6
 KNOWN_PER_HEARTBEAT = 2
@@ -422,3 +432,21 @@
         taken = self._known_round[-KNOWN_PER_HEARTBEAT:]
         del self._known_round[-KNOWN_PER_HEARTBEAT:]
         return taken
+
+
+def encode_members(membership: Membership) -> bytes:
+    """Returns all members, this daemon included, for a daemon that joins."""
+    members = [membership.own, *membership.members()]
+    rows = [[*astuple(member)[:-1], member.state.value] for member in members]
+    return compress(json.dumps(rows).encode())
+
+
+def decode_members(content: bytes) -> list[MemberRecord]:
+    """Returns the members in an answer; raises ValueError when it is broken."""
+    rows = json.loads(decompress(content))
+    columns = len(MemberRecord.thrift_spec)
+    if not isinstance(rows, list) or any(
+        not isinstance(row, list) or len(row) != columns for row in rows
+    ):
+        raise ValueError("not a list of members")
+    return [MemberRecord(*row) for row in rows]
--- a/lycheepin/daemon/control.py
+++ b/lycheepin/daemon/control.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Hashable
 
 from lycheepin.cluster.documents import CONFIGURATION, Copy, choose_watchers
 from lycheepin.cluster.membership import MemberState
 from lycheepin.configuration import decode_change
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.peers import PeerTask
-from lycheepin.names import Incarnation, Revision
+from lycheepin.names import Revision
 from lycheepin.platform.store import (
     Conflict,
     Missing,
@@ -33,6 +34,7 @@
 MIN_BACKOFF_S = 0.25
 MAX_BACKOFF_S = 4.0
 JOIN_GRACE_S = 1.5
+QUARANTINE_CHECK_MS = 250
 
 
 class ControlTasks:
@@ -44,6 +46,7 @@
         self._store = store
         self._source = source
         self._plan_store_revision: int | None = None
+        self._planned_inputs: Hashable = None
         self._backoff_s = MIN_BACKOFF_S
 
     def tasks(self) -> list[asyncio.Task[None]]:
@@ -138,8 +141,13 @@
         if self._plan_store_revision is None and not await self._read_plan():
             await self._back_off()
             return
-        plan = next_plan(self._node, self._peers)
+        evidence = gather_evidence(self._node, self._peers)
+        inputs = plan_inputs(self._node, evidence)
+        if inputs == self._planned_inputs:
+            return
+        plan = next_plan(self._node, self._peers, evidence)
         if plan is None:
+            self._planned_inputs = inputs
             return
         content = encode_plan(plan)
         assert self._plan_store_revision is not None
@@ -178,7 +186,22 @@
         return False
 
 
-def next_plan(node: Node, peers: PeerTask) -> Plan | None:
+def plan_inputs(node: Node, evidence: Evidence) -> Hashable:
+    """Returns what a plan depends on; while it is the same there is nothing to compute."""
+    waiting_ms = evidence.now_ms // QUARANTINE_CHECK_MS if node.plan.retired else 0
+    return (
+        node.plan.revision,
+        node.replicas.revision(node.vms_name),
+        node.replicas.revision(CONFIGURATION),
+        node.membership.version,
+        evidence.settled,
+        evidence.clear,
+        evidence.ended,
+        waiting_ms,
+    )
+
+
+def next_plan(node: Node, peers: PeerTask, evidence: Evidence) -> Plan | None:
     """Returns the plan to follow the one in force, or None when it fits."""
     assert node.vms is not None
     cell = peers.cell_members()
@@ -189,15 +212,15 @@
         if member.state is MemberState.ALIVE
         and (member.address in listed or member.incarnation in node.plan.grants)
     ]
-    ended = node.ended_holders()
+    ended = evidence.ended
     present = {member.incarnation for member in cell}
     silent = frozenset(node.plan.holders - present - ended)
     zones = {slot_resource(endpoint): endpoint.zone for endpoint in node.vms.endpoints}
     desired = spread_tokens(node.caps, zones, holders, silent, node.plan)
-    return revise_plan(node.plan, node.caps, desired, gather_evidence(node, peers, ended))
+    return revise_plan(node.plan, node.caps, desired, evidence)
 
 
-def gather_evidence(node: Node, peers: PeerTask, ended: frozenset[Incarnation]) -> Evidence:
+def gather_evidence(node: Node, peers: PeerTask) -> Evidence:
     """Returns what the latest reports at exactly the plan's revision say."""
     current = [
         item for item in peers.reports.values() if item.report.plan_revision == node.plan.revision
@@ -205,7 +228,7 @@
     return Evidence(
         settled=frozenset(item.holder for item in current if item.report.settled),
         clear=frozenset(item.holder for item in current if item.report.clear),
-        ended=ended,
+        ended=node.ended_holders(),
         now_ms=node.clock.wall_ms(),
         addresses={m.incarnation: m.address for m in peers.cell_members()},
         vm_revision=node.replicas.revision(node.vms_name),
--- a/lycheepin/daemon/node.py
+++ b/lycheepin/daemon/node.py
@@ -122,18 +122,23 @@
         """Puts a configuration in force; returns False when it is refused."""
         match decode_change(copy.content):
             case Success(change):
+                if self.change is None or self.change.document.regions != change.document.regions:
+                    self._build_blocks(change)
                 self.change = change
                 self.view = ConfigurationView(change.document)
-                self.blocks = BlockTable.from_blocks(
-                    (block, RegionName(region.name))
-                    for region in change.document.regions
-                    for block in region.client_blocks
-                )
                 return True
             case Failure(problems):
                 self.log.warning("configuration {} refused: {}", copy.revision, problems[0])
         return False
 
+    def _build_blocks(self, change: Change) -> None:
+        """Builds the table of client blocks anew; a large one takes seconds."""
+        self.blocks = BlockTable.from_blocks(
+            (block, RegionName(region.name))
+            for region in change.document.regions
+            for block in region.client_blocks
+        )
+
     def _compare_entries(self, vms: VmList) -> None:
         """Notes which entry VMs the platform's list has, and since when others are gone."""
         for entry in vms.entries:
--- a/lycheepin/daemon/peers.py
+++ b/lycheepin/daemon/peers.py
@@ -15,7 +15,7 @@
     decompress,
     relay_targets,
 )
-from lycheepin.cluster.membership import Member, MemberState, Send
+from lycheepin.cluster.membership import Member, MemberState, Send, decode_members
 from lycheepin.cluster.wire import decode_envelope, encode_envelope, peer_token
 from lycheepin.daemon.calls import Called, Caller
 from lycheepin.daemon.node import Node
@@ -59,6 +59,7 @@
         self._caller = caller
         self._transport: asyncio.DatagramTransport | None = None
         self._fetching: set[str] = set()
+        self._joined = False
         self._tasks: set[asyncio.Task[None]] = set()
         self._last_report: tuple[int, bool, bool] | None = None
         self._reported_s = 0.0
@@ -142,6 +143,7 @@
                 now_s = self._node.clock.monotonic()
                 self._send_all(self._node.membership.receive(heartbeat, address, port, now_s))
                 self._note_changes()
+                self._join_through(address, port)
                 for name in self._node.replicas.missing(heartbeat.documents):
                     self._fetch_later(name, address, port)
             case Envelope(push=push) if push is not None:
@@ -221,6 +223,30 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def _join_through(self, address: Address, port: int) -> None:
+        """Asks the first peer that is heard of for all members, once."""
+        if not self._joined:
+            self._joined = True
+            task = asyncio.get_running_loop().create_task(self._fetch_members(address, port))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _fetch_members(self, address: Address, port: int) -> None:
+        """Takes over the members that a peer knows; a failure leads to another try."""
+        token = (("lycheepin-peer", peer_token(self._node.key, address)),)
+        answer = await self._caller.call(
+            address, port, "GET", "/_lycheepin/peer/members", headers=token
+        )
+        try:
+            match answer:
+                case Called(status=200, body=body):
+                    records = decode_members(body)
+                    self._node.membership.absorb(records, self._node.clock.monotonic())
+                    return
+        except ValueError:
+            self._node.metrics.count("documents_refused", "members")
+        self._joined = False
+
     async def _fetch(self, name: str, address: Address, port: int) -> None:
         """Fetches a document from a peer, puts it in force and passes it on."""
         token = (("lycheepin-peer", peer_token(self._node.key, address)),)
--- a/lycheepin/daemon/process.py
+++ b/lycheepin/daemon/process.py
@@ -27,7 +27,7 @@
 
 EXIT_OK = 0
 EXIT_ABORTED = 3
-POLL_INTERVAL_S = 0.05
+POLL_INTERVAL_S = 0.1
 DRAIN_CHECK_S = 0.1
 BACKLOG = 2048
 
--- a/lycheepin/daemon/server.py
+++ b/lycheepin/daemon/server.py
@@ -13,6 +13,7 @@
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from lycheepin.cluster.documents import CONFIGURATION, compress
+from lycheepin.cluster.membership import encode_members
 from lycheepin.cluster.wire import peer_token
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.operators import Operators
@@ -227,6 +228,14 @@
         content = Content(b"application/octet-stream", compress(copy.content))
         return Response(200, headers, content)
 
+    @app.router.get(PREFIX + "peer/members")
+    async def members(request: Request) -> Response:
+        """Answers all members, for a daemon that joins."""
+        if not _is_peer(node, request):
+            return _json(Fault(ErrorKind.FORBIDDEN))
+        content = Content(b"application/octet-stream", encode_members(node.membership))
+        return Response(200, content=content)
+
     @app.router.get(PREFIX + "peer/number")
     async def number(request: Request) -> Response:
         """Answers the number of the configuration in force."""
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -44,6 +44,7 @@
         self.daemons: dict[str, subprocess.Popen[bytes]] = {}
         self._program = program
         self._others: list[subprocess.Popen[bytes]] = []
+        self.ready_timeout_s = READY_TIMEOUT_S
         folder.mkdir(parents=True, exist_ok=True)
 
     def start(self) -> None:
@@ -156,8 +157,9 @@
                 granted[(status["region"], load["service"])] += load["granted"]
         return granted == region_caps(self.layout)
 
-    def await_true(self, condition: Any, what: str, timeout_s: float = READY_TIMEOUT_S) -> float:
+    def await_true(self, condition: Any, what: str, timeout_s: float | None = None) -> float:
         """Waits for a condition and returns the seconds; raises TimeoutError."""
+        timeout_s = self.ready_timeout_s if timeout_s is None else timeout_s
         started_s = time.monotonic()
         while not condition():
             if time.monotonic() - started_s > timeout_s:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -4,7 +4,16 @@
 import unittest
 from collections.abc import Callable
 
-from lycheepin.cluster.membership import HeartbeatKind, Member, Membership, MemberState, Send
+from lycheepin.cluster.documents import compress
+from lycheepin.cluster.membership import (
+    HeartbeatKind,
+    Member,
+    Membership,
+    MemberState,
+    Send,
+    decode_members,
+    encode_members,
+)
 from lycheepin.generated.messages import Heartbeat, MemberRecord
 from lycheepin.names import Address, Incarnation, RegionName, ZoneName
 
@@ -134,6 +143,16 @@
             rates.append(network.sent / size / 10)
         self.assertLess(max(rates), 4.0)
 
+    def test_all_members_survive_encoding(self) -> None:
+        network = Network(5)
+        network.run(20)
+        node = network.nodes[Address("127.0.0.2")]
+        records = decode_members(encode_members(node))
+        self.assertEqual({r.address for r in records}, {f"127.0.0.{n}" for n in range(1, 6)})
+        for broken in (b"", b"x", compress(b"[1]"), compress(b'{"a": 1}')):
+            with self.assertRaises(ValueError):
+                decode_members(broken)
+
     def test_malformed_news_is_ignored(self) -> None:
         node = Membership(make_member(1), INTERVAL_S, seed=1)
         source = random.Random(3)
