--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,9 @@
 	$(BIN)/mypy
 	$(BIN)/python tools/generate.py --check
 
+measure: dist/lycheepin
+	@$(BIN)/python -m measure
+
 measure-slopes: dist/lycheepin
 	@$(BIN)/python -m measure.slopes
 
--- a/lycheepin/daemon/node.py
+++ b/lycheepin/daemon/node.py
@@ -236,6 +236,12 @@
             for service in self.services
         ]
 
+    def is_leaving(self, place: Resource | None) -> bool:
+        """Returns whether an endpoint, or for None this daemon, is to be emptied."""
+        if place is None:
+            return self.leaving or self.drained()
+        return place in self.endpoints and all(place not in rs for rs in self.services.values())
+
     def drained(self) -> bool:
         """Returns whether a planned drain covers this entry VM."""
         if self.view is None:
--- a/lycheepin/daemon/process.py
+++ b/lycheepin/daemon/process.py
@@ -123,6 +123,7 @@
             await asyncio.sleep(POLL_INTERVAL_S)
             self._path.poll()
             node.homes.expire(node.clock.wall_ms())
+            self._name_overdue()
             if node.leaving:
                 continue
             drained = node.drained()
@@ -131,6 +132,14 @@
             elif not drained and node.membership.own.state is MemberState.LEAVING:
                 node.membership.stay()
 
+    def _name_overdue(self) -> None:
+        """Tells the operator of requests that outlast a drain; they are not cut."""
+        node = self.node
+        for request in self._path.active.overdue(node.is_leaving, node.clock.monotonic()):
+            place = request.endpoint or "no endpoint yet"
+            node.events.record("drain_overdue", f"{request.work} of {request.caller} at {place}")
+            node.log.warning("drain overdue: {} of {} at {}", request.work, request.caller, place)
+
     async def _count(self) -> None:
         """Logs a counter line each period."""
         while True:
--- a/lycheepin/daemon/requests.py
+++ b/lycheepin/daemon/requests.py
@@ -8,6 +8,7 @@
 
 from lycheepin.cluster.membership import Member, MemberState
 from lycheepin.cluster.wire import peer_token
+from lycheepin.daemon.active import ActiveRequest, ActiveRequests
 from lycheepin.daemon.connection import ConnectionPool
 from lycheepin.daemon.exchange import Attempt, Broken, NotSent, Opened, Target, exchange, relay
 from lycheepin.daemon.node import Node
@@ -61,6 +62,7 @@
         ticket: Ticket,
         hop: str,
         request_id: RequestId | None,
+        began_s: float,
     ) -> None:
         self.request = request
         self.name = name
@@ -69,6 +71,9 @@
         self.request_id = request_id
         self.keep = False
         self.sent = False
+        self.active = ActiveRequest(
+            ticket.work_key, request.client, began_s, float(ticket.work.drain_target_s)
+        )
 
     @property
     def work(self) -> WorkClass:
@@ -85,6 +90,7 @@
         self._waiting: dict[int, asyncio.Future[Start | Refuse]] = {}
         self._running: dict[RequestKey, asyncio.Event] = {}
         self._random = random.Random(node.incarnation)
+        self.active = ActiveRequests()
         self._shift_closed_s: dict[tuple[ServiceName, RegionName], float] = {}
         node.on_capacity = self.poll
 
@@ -93,11 +99,12 @@
         node = self._node
         node.in_flight += 1
         node.metrics.count("requests")
+        call = self._read(request)
         try:
-            call = self._read(request)
             if isinstance(call, Fault):
                 await self._refuse(request, call)
                 return
+            self.active.add(call.active)
             await request.read_small_body()
             if call.work.protected and call.request_id and call.hop in ("", HOP_HOME):
                 await self._serve_protected(call, call.request_id)
@@ -111,6 +118,8 @@
         finally:
             request.close()
             node.in_flight -= 1
+            if isinstance(call, _Call):
+                self.active.remove(call.active)
 
     async def _refuse(self, request: CallerRequest, fault: Fault) -> None:
         """Answers with a fault and counts it."""
@@ -160,7 +169,7 @@
             body_bytes=request.length or 0,
             may_shift=not hop or hop == HOP_HOME,
         )
-        return _Call(request, name, ticket, hop, request_id)
+        return _Call(request, name, ticket, hop, request_id, self._node.clock.monotonic())
 
     def _origin(self, request: CallerRequest, hop: str) -> RegionName | None:
         """Returns the caller's region when it is another than this daemon's."""
@@ -346,6 +355,7 @@
         """Has a request run at the endpoint whose token it holds."""
         node = self._node
         endpoint = node.endpoints[start.endpoint]
+        call.active.endpoint = start.endpoint
         began_s = node.clock.monotonic()
         remaining_ms = max(1, int((call.ticket.deadline_s - began_s) * MS_PER_S))
         headers = [(DEADLINE_HEADER, str(remaining_ms).encode())]
--- a/lycheepin/steering/lookup.py
+++ b/lycheepin/steering/lookup.py
@@ -13,8 +13,8 @@
 __all__ = ["Candidate", "LookupTable"]
 
 ANSWER_ENTRIES = 4
-SECOND_CHOICES = 2
-LOCAL_CHOICES = 3
+LOCAL_CHOICES = 2
+OTHER_CHOICES = 1
 
 
 @dataclass(frozen=True)
@@ -81,7 +81,7 @@
             choices = self._regions.get(region)
             if choices is not None:
                 ordered += choices.draw(count, source)
-            count = SECOND_CHOICES
+            count = OTHER_CHOICES
             if len(ordered) >= ANSWER_ENTRIES:
                 break
         return ordered[:ANSWER_ENTRIES]
--- a/measure/fakes.py
+++ b/measure/fakes.py
@@ -84,7 +84,7 @@
         self._count += 1
         heapq.heappush(self._events, (time_s, self._count, act))
 
-    def run(self, arrivals: list[Arrival], policy: "Policy") -> Outcome:
+    def run(self, arrivals: list[Arrival], policy: Policy) -> Outcome:
         """Runs all arrivals to their end."""
         for arrival in arrivals:
             self.at(arrival.time_s, lambda arrival=arrival: self._arrive(arrival, policy))
@@ -93,7 +93,7 @@
             act()
         return self.outcome
 
-    def _arrive(self, arrival: Arrival, policy: "Policy") -> None:
+    def _arrive(self, arrival: Arrival, policy: Policy) -> None:
         """Counts a request and hands it to the policy."""
         self.outcome.requests[arrival.work.name] += 1
         self.outcome.fleet_requests[arrival.fleet] += 1
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -60,8 +60,10 @@
         self._entries = [f"127.{r}.{z}.200" for r in (1, 2, 3) for z in (1, 2)]
         self._photo = self._random.randbytes(PHOTO_BYTES)
         self._photo_digest = hashlib.sha256(self._photo).hexdigest()
+        self._started_s = 0.0
         self.classes: dict[str, ClassRecord] = {}
         self.fleets: dict[str, Counter[str]] = {}
+        self.seconds: dict[int, Counter[str]] = {}
         self.lookups = 0
         self.refused_attempts: Counter[str] = Counter()
         self.ran_attempts: Counter[str] = Counter()
@@ -71,6 +73,7 @@
         """Sends load for some seconds and waits for the last answers."""
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        self._started_s = started_s
         tasks = []
         plan = self._arrivals(seconds)
         stopped = asyncio.Event()
@@ -136,6 +139,7 @@
             record.in_target += in_target
             by_fleet["in_target"] += in_target
         setattr(record, outcome, getattr(record, outcome) + 1)
+        self.seconds.setdefault(int(due_s - self._started_s), Counter())[outcome] += 1
         by_fleet[outcome] += 1
 
     async def _try_entries(self, tag: str, source: str, fleet: str, service: str, kind: str) -> str:
@@ -192,6 +196,7 @@
             "classes": {name: record.to_json() for name, record in self.classes.items()},
             "fleets": self.fleets,
             "lookups": self.lookups,
+            "seconds": self.seconds,
             "refused": self.refused_attempts,
             "ran": self.ran_attempts,
             "kinds": self.kinds,
