Policy: wait past slow endpoints, timely work first; a request id for each entry VM

Cause 1: with a third of the endpoints slow, a free slow endpoint was taken although a fast slot was due sooner. Cause 2: over capacity, a first-come queue answers everybody late. Cause 3: an id was bound to the first entry VM only, so after its death the next one had to answer OUTCOME_UNKNOWN though the caller knew that nothing had been sent. Ruled out: forgetting slow endpoints too fast (FORGET_S from 5 to longer leaves the spill to slow slots as it is: they are taken only when no fast one is free). Change: admission passes over a free endpoint that would miss the target when a good slot is expected early enough; waiting idempotent work that can still meet its target goes before work that can't, which takes the slow endpoints; look-ups name an id for each entry VM.

--- a/lycheepin/cli/commands.py
+++ b/lycheepin/cli/commands.py
@@ -271,8 +271,10 @@
 
 def _entries_text(answer: Any) -> str:
     """Returns a look-up's answer as text."""
-    entries = "\n".join(f"{e['address']}:{e['port']}" for e in answer["entries"])
-    return f"{entries}\nvalid for {answer['lifetime_s']} s, request id {answer['request_id']}"
+    entries = "\n".join(
+        f"{e['address']}:{e['port']}  request id {e['request_id']}" for e in answer["entries"]
+    )
+    return f"{entries}\nvalid for {answer['lifetime_s']} s"
 
 
 def _status_text(answer: Any) -> str:
--- a/lycheepin/daemon/operators.py
+++ b/lycheepin/daemon/operators.py
@@ -54,7 +54,11 @@
     # Look-ups
 
     def look_up(self, fleet: str, service: str, caller: str) -> dict[str, Any] | Fault:
-        """Returns the entry VMs for a caller's address, best first, and a request id."""
+        """Returns the entry VMs for a caller's address, best first, each with a request id.
+
+        A caller that certainly did not reach an entry VM goes on to the next one with that one's
+        id; after any doubt it repeats the id that it used.
+        """
         node = self._node
         if node.view is None:
             return Fault(ErrorKind.NO_CONFIGURATION)
@@ -69,16 +73,20 @@
         ordered = self._order(merged, region)
         if not ordered:
             return Fault(ErrorKind.NO_CAPACITY, "no entry VM is known to be alive")
-        first = ordered[0]
         lifetime_ms = node.settings.request_id_lifetime_s * MS_PER_S
         expires_ms = node.clock.wall_ms() + lifetime_ms
         nonce = secrets.token_hex(NONCE_BYTES)
-        request_id = RequestId(first.address, first.incarnation, expires_ms, nonce)
         return {
-            "entries": [{"address": c.address, "port": c.port} for c in ordered],
+            "entries": [
+                {
+                    "address": c.address,
+                    "port": c.port,
+                    "request_id": str(RequestId(c.address, c.incarnation, expires_ms, nonce)),
+                }
+                for c in ordered
+            ],
             "lifetime_s": node.settings.lookup_lifetime_s,
             "region": region,
-            "request_id": str(request_id),
         }
 
     def _order(self, service: ServiceName, region: RegionName) -> list[Candidate]:
--- a/lycheepin/steering/endpoints.py
+++ b/lycheepin/steering/endpoints.py
@@ -101,10 +101,19 @@
 
     def _score(self, resource: Resource, free: int, used: int, now_s: float) -> float:
         """Returns the expected relative answer time, with a small part for occupancy."""
+        return self._relative(resource, now_s) * (1.0 + used / (used + free))
+
+    def _relative(self, resource: Resource, now_s: float) -> float:
+        """Returns the relative answer time; what was seen long ago counts less."""
         seen = self._seen[resource]
         trust = max(0.0, 1.0 - (now_s - seen.sampled_s) / FORGET_S)
-        relative = NEUTRAL + (seen.relative - NEUTRAL) * trust
-        return relative * (1.0 + used / (used + free))
+        return NEUTRAL + (seen.relative - NEUTRAL) * trust
+
+    def expected_at(self, resource: Resource, work: str, now_s: float) -> float:
+        """Returns the expected answer time of a class at an endpoint in seconds."""
+        if resource not in self._seen:
+            return self.expected_s(work)
+        return self._relative(resource, now_s) * self.expected_s(work)
 
     def observe(
         self, resource: Resource, work: str, result: Result, elapsed_s: float, now_s: float
--- a/lycheepin/steering/fairness.py
+++ b/lycheepin/steering/fairness.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict, deque
+from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
 from lycheepin.names import FleetName
@@ -12,53 +13,117 @@
 T = TypeVar("T")
 
 
+@dataclass
+class _FleetQueue(Generic[T]):
+    """Waiting items of one fleet; `timely` and `late` hold idempotent work."""
+
+    protected: deque[T] = field(default_factory=deque)
+    timely: deque[tuple[float, T]] = field(default_factory=deque)
+    late: deque[T] = field(default_factory=deque)
+
+    def __len__(self) -> int:
+        """Returns the number of items."""
+        return len(self.protected) + len(self.timely) + len(self.late)
+
+    def sort_out_late(self, now_s: float) -> None:
+        """Moves items that can't meet their target any more behind those that can."""
+        while self.timely and self.timely[0][0] < now_s:
+            self.late.append(self.timely.popleft()[1])
+
+    def first(self) -> T:
+        """Returns the item whose turn it is."""
+        if self.protected:
+            return self.protected[0]
+        return self.timely[0][1] if self.timely else self.late[0]
+
+    def items(self) -> list[T]:
+        """Returns all items."""
+        return [*self.protected, *(item for _, item in self.timely), *self.late]
+
+    def remove(self, item: T) -> bool:
+        """Removes an item and returns whether it was there."""
+        size = len(self)
+        self.protected = deque(i for i in self.protected if i is not item)
+        self.timely = deque(pair for pair in self.timely if pair[1] is not item)
+        self.late = deque(i for i in self.late if i is not item)
+        return len(self) < size
+
+    def pop_first(self) -> T:
+        """Removes and returns the item whose turn it is."""
+        if self.protected:
+            return self.protected.popleft()
+        return self.timely.popleft()[1] if self.timely else self.late.popleft()
+
+
 class FairQueue(Generic[T]):
-    """Waiting items of one service by fleet, with the slots that each fleet has in use."""
+    """Waiting items of one service by fleet, with the slots that each fleet has in use.
+
+    Inside a fleet protected work goes first, then idempotent work that can still meet its target,
+    then the rest: when not all can be answered in time, some are.
+    """
 
     def __init__(self) -> None:
-        self._waiting: defaultdict[FleetName, tuple[deque[T], deque[T]]] = defaultdict(
-            lambda: (deque(), deque())
-        )
+        self._waiting: dict[FleetName, _FleetQueue[T]] = {}
         self._in_use: defaultdict[FleetName, int] = defaultdict(int)
 
     def __len__(self) -> int:
         """Returns the number of waiting items."""
-        return sum(len(first) + len(rest) for first, rest in self._waiting.values())
+        return sum(map(len, self._waiting.values()))
 
     def waiting(self, fleet: FleetName) -> int:
         """Returns the number of items of one fleet."""
-        return sum(map(len, self._waiting[fleet])) if fleet in self._waiting else 0
+        return len(self._waiting[fleet]) if fleet in self._waiting else 0
 
     def active_fleets(self) -> int:
         """Returns the number of fleets that wait or use slots."""
         return len({f for f, n in self._in_use.items() if n} | set(self._waiting))
 
-    def push(self, fleet: FleetName, item: T, protected: bool) -> None:
-        """Adds an item behind those of the same fleet and kind."""
-        self._waiting[fleet][0 if protected else 1].append(item)
+    def push(self, fleet: FleetName, item: T, protected: bool, due_s: float) -> None:
+        """Adds an item; `due_s` is when it has to start in order to meet its target."""
+        queue = self._waiting.setdefault(fleet, _FleetQueue())
+        if protected:
+            queue.protected.append(item)
+        else:
+            queue.timely.append((due_s, item))
 
-    def pop(self) -> T | None:
+    def first(self, now_s: float) -> T | None:
         """Returns the next item of the fleet that uses the fewest slots, or None."""
         if not self._waiting:
             return None
-        fleet = min(self._waiting, key=lambda name: (self._in_use[name], name))
-        protected, other = self._waiting[fleet]
-        item = protected.popleft() if protected else other.popleft()
+        queue = self._waiting[self._next_fleet()]
+        queue.sort_out_late(now_s)
+        return queue.first()
+
+    def pop_late(self) -> T | None:
+        """Removes and returns late work of the fleet that uses the fewest slots, or None."""
+        fleets = [name for name, queue in self._waiting.items() if queue.late]
+        if not fleets:
+            return None
+        fleet = min(fleets, key=lambda name: (self._in_use[name], name))
+        item = self._waiting[fleet].late.popleft()
+        self._drop_empty(fleet)
+        return item
+
+    def pop(self, fleet: FleetName) -> T:
+        """Removes and returns the next item of a fleet; raises KeyError when it has none."""
+        item = self._waiting[fleet].pop_first()
         self._drop_empty(fleet)
         return item
 
+    def _next_fleet(self) -> FleetName:
+        """Returns the waiting fleet that uses the fewest slots."""
+        return min(self._waiting, key=lambda name: (self._in_use[name], name))
+
     def remove(self, fleet: FleetName, item: T) -> bool:
         """Removes a waiting item and returns whether it was there."""
-        for items in self._waiting.get(fleet, ()):
-            if item in items:
-                items.remove(item)
-                self._drop_empty(fleet)
-                return True
-        return False
+        queue = self._waiting.get(fleet)
+        found = queue is not None and queue.remove(item)
+        self._drop_empty(fleet)
+        return found
 
     def items(self) -> list[tuple[FleetName, T]]:
         """Returns all waiting items with their fleets."""
-        return [(f, i) for f, queues in self._waiting.items() for q in queues for i in q]
+        return [(fleet, item) for fleet, queue in self._waiting.items() for item in queue.items()]
 
     def start(self, fleet: FleetName) -> None:
         """Counts one more slot in use by a fleet."""
@@ -70,5 +135,5 @@
 
     def _drop_empty(self, fleet: FleetName) -> None:
         """Forgets a fleet without waiting items."""
-        if not any(self._waiting[fleet]):
+        if fleet in self._waiting and not len(self._waiting[fleet]):
             del self._waiting[fleet]
--- a/measure/fakes.py
+++ b/measure/fakes.py
@@ -209,6 +209,8 @@
         holders = max(1, sum(tokens) // HOLDER_TOKENS)
         self._holders = [self._make(Incarnation(h + 1), tokens, h, holders) for h in range(holders)]
 
+        self._weights = [admission.granted(DESK) for admission in self._holders]
+
     def _make(self, name: Incarnation, tokens: list[int], offset: int, holders: int) -> Admission:
         """Returns the admission of one holder with its part of the endpoints."""
         mine = [
@@ -227,7 +229,7 @@
 
     def submit(self, arrival: Arrival) -> None:
         """Submits a request to one of the holders, as a look-up would."""
-        admission = self._random.choice(self._holders)
+        admission = self._random.choices(self._holders, self._weights)[0]
         deadline_s = arrival.time_s + arrival.work.deadline_ms / 1000
         ticket = Ticket(FleetName(arrival.fleet), DESK, arrival.work, deadline_s)
         self._arrivals[id(ticket)] = arrival
