--- a/lycheepin/configuration.py
+++ b/lycheepin/configuration.py
@@ -186,10 +186,10 @@
     for index, region in enumerate(configuration.regions):
         for position, block in enumerate(region.client_blocks):
             try:
-                ipaddress.ip_network(block)
+                ipaddress.IPv4Network(block)
             except ValueError as error:
                 path: Path = ("regions", index, "client_blocks", position)
-                yield Problem(path, f"given {block!r}; allowed: a CIDR block ({error})")
+                yield Problem(path, f"given {block!r}; allowed: an IPv4 CIDR block ({error})")
         for position, name in enumerate(region.fallback):
             if name not in regions or name == region.name:
                 path = ("regions", index, "fallback", position)
--- a/lycheepin/daemon/server.py
+++ b/lycheepin/daemon/server.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+import hmac
 import json
-from collections.abc import Generator
+from collections.abc import Awaitable, Callable, Generator
 from contextlib import contextmanager
 from typing import Any
 from urllib.parse import unquote
 
 import uvicorn
-from blacksheep import Application, Content, Request, Response
+from blacksheep import Application, Content, Request, Response, Router
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from lycheepin.cluster.documents import CONFIGURATION, compress
@@ -133,18 +134,18 @@
     if not key:
         return node.settings.address.startswith(LOOPBACK)
     given = request.get_first_header(b"lycheepin-operator-key") or b""
-    return given == key.encode()
+    return hmac.compare_digest(given, key.encode())
 
 
 def _is_peer(node: Node, request: Request) -> bool:
     """Returns whether a call comes from another daemon."""
     given = request.get_first_header(b"lycheepin-peer") or b""
-    return given == peer_token(node.key, node.address).encode()
+    return hmac.compare_digest(given, peer_token(node.key, node.address).encode())
 
 
 def build_routes(node: Node, operators: Operators) -> Application:
     """Returns the application with all routes of callers, operators and peers."""
-    app = Application()
+    app = Application(router=Router())
     _add_caller_routes(app, operators)
     _add_operator_routes(app, node, operators)
     _add_peer_routes(app, node)
@@ -164,53 +165,78 @@
 
 
 def _add_operator_routes(app: Application, node: Node, operators: Operators) -> None:
-    """Adds status, events, metrics and configuration."""
+    """Adds metrics, and the calls that need the operator key: status, events, configuration."""
+
+    async def guarded(request: Request, answer: Callable[[], Awaitable[Any]]) -> Response:
+        """Answers a call if it may be made."""
+        if not _may_administer(node, request):
+            return _json(Fault(ErrorKind.FORBIDDEN))
+        try:
+            return _json(await answer())
+        except ValueError as error:
+            return _json(Fault(ErrorKind.BAD_REQUEST, str(error)))
+
+    @app.router.get(PREFIX + "metrics")
+    async def metrics(request: Request) -> Response:
+        """Answers metrics as Prometheus text."""
+        text = node.metrics.to_prometheus(operators.gauges())
+        return Response(200, content=Content(b"text/plain; version=0.0.4", text.encode()))
 
     @app.router.get(PREFIX + "status")
     async def status(request: Request) -> Response:
         """Answers the state of this daemon."""
-        return _json(operators.status())
+
+        async def answer() -> Any:
+            return operators.status()
+
+        return await guarded(request, answer)
 
     @app.router.get(PREFIX + "explain")
     async def explain(request: Request) -> Response:
         """Answers why a caller is sent where it is."""
-        caller = _query(request, "caller")
-        return _json(
-            operators.explain(_query(request, "fleet"), _query(request, "service"), caller)
-        )
+
+        async def answer() -> Any:
+            fleet, service = _query(request, "fleet"), _query(request, "service")
+            return operators.explain(fleet, service, _query(request, "caller"))
+
+        return await guarded(request, answer)
 
     @app.router.get(PREFIX + "events")
     async def events(request: Request) -> Response:
         """Answers the events since a stamp."""
-        since = int(_query(request, "since") or 0)
-        return _json([event.to_json() for event in node.events.since(since)])
 
-    @app.router.get(PREFIX + "metrics")
-    async def metrics(request: Request) -> Response:
-        """Answers metrics as Prometheus text."""
-        text = node.metrics.to_prometheus(operators.gauges())
-        return Response(200, content=Content(b"text/plain; version=0.0.4", text.encode()))
+        async def answer() -> Any:
+            since = int(_query(request, "since") or 0)
+            return [event.to_json() for event in node.events.since(since)]
+
+        return await guarded(request, answer)
 
     @app.router.get(PREFIX + "config")
     async def show(request: Request) -> Response:
         """Answers the configuration in force."""
-        return _json(operators.configuration())
+
+        async def answer() -> Any:
+            return operators.configuration()
+
+        return await guarded(request, answer)
 
     @app.router.post(PREFIX + "config")
     async def apply(request: Request) -> Response:
         """Puts a configuration in force."""
-        if not _may_administer(node, request):
-            return _json(Fault(ErrorKind.FORBIDDEN))
-        try:
-            value = json.loads(await request.read() or b"")
-        except ValueError as error:
-            return _json(Fault(ErrorKind.BAD_REQUEST, str(error)))
-        return _json(await operators.apply(value))
+
+        async def answer() -> Any:
+            return await operators.apply(json.loads(await request.read() or b""))
+
+        return await guarded(request, answer)
 
     @app.router.get(PREFIX + "config/coverage")
     async def coverage(request: Request) -> Response:
         """Answers which daemons have a configuration in force."""
-        return _json(await operators.coverage(int(_query(request, "number") or 0)))
+
+        async def answer() -> Any:
+            return await operators.coverage(int(_query(request, "number") or 0))
+
+        return await guarded(request, answer)
 
 
 def _add_peer_routes(app: Application, node: Node) -> None:
--- a/lycheepin/steering/blocks.py
+++ b/lycheepin/steering/blocks.py
@@ -42,7 +42,13 @@
         return len(self._starts)
 
     def region_of(self, address: str) -> RegionName | None:
-        """Returns the region of an IPv4 address, or None; raises ValueError for other text."""
+        """Returns the region of an address, or None; raises ValueError for other text.
+
+        No IPv6 address is in any block.
+        """
+        if ":" in address:
+            ipaddress.IPv6Address(address)
+            return None
         number = int(ipaddress.IPv4Address(address))
         value = self._values[bisect_right(self._starts, number) - 1]
         return None if value == _NO_REGION else self._regions[value]
--- a/tests/steering/test_blocks.py
+++ b/tests/steering/test_blocks.py
@@ -26,6 +26,10 @@
             expected = blocks[longest] if longest is not None else None
             self.assertEqual(table.region_of(str(address)), expected)
 
+    def test_ipv6_callers_are_in_no_block(self) -> None:
+        table = BlockTable.from_blocks([("0.0.0.0/0", RegionName("a"))])
+        self.assertIsNone(table.region_of("::1"))
+
     def test_text_that_is_no_address_is_an_error(self) -> None:
         with self.assertRaises(ValueError):
             BlockTable.from_blocks(()).region_of("nonsense")
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -63,6 +63,13 @@
         fields = [problem.field for problem in check_configuration(value).failure()]
         self.assertEqual(fields, ["services[0].members[3]", "shift_caps[0].to_region"])
 
+    def test_client_blocks_that_daemons_could_not_take_over_are_refused(self) -> None:
+        for block in ("::/0", "10.0.0.1/8", "10.0.0.0/40"):
+            value = configuration(LAYOUTS["prairie"])
+            value["regions"][0]["client_blocks"] = [block]
+            (problem,) = check_configuration(value).failure()
+            self.assertEqual(problem.field, "regions[0].client_blocks[0]")
+
     def test_settings_apply_defaults(self) -> None:
         text = """{"vm": "a/vm-1", "zone": "z", "region": "r", "address": "127.0.0.1",
           "store": {"host": "127.0.0.1", "port": 1}, "vm_list": {"host": "127.0.0.1", "port": 1},
