--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	@rm -rf build/site build/lib
 	$(BIN)/pip install -q --require-hashes --no-deps -r requirements.lock --target build/site
 	cp -r lycheepin build/site/
-	$(BIN)/shiv --site-packages build/site --reproducible -e lycheepin.cli.commands:main -p '/usr/bin/env python3' -o $@
+	$(BIN)/shiv --site-packages build/site --reproducible -e lycheepin.cli.commands:main -p '/usr/bin/env python3.11' -o $@
 
 demo: dist/lycheepin
 	@dist/lycheepin version
--- a/lycheepin/cluster/documents.py
+++ b/lycheepin/cluster/documents.py
@@ -11,7 +11,6 @@
 import zlib
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
-from enum import Enum
 
 from lycheepin.generated.messages import DocumentVersion
 from lycheepin.names import Address, RegionName, Revision
@@ -20,13 +19,11 @@
     "CONFIGURATION",
     "Copy",
     "Replicas",
-    "Scope",
     "choose_watchers",
     "compress",
     "decompress",
     "plan_document",
     "relay_targets",
-    "scope_of",
     "vms_document",
 ]
 
@@ -35,13 +32,6 @@
 MAX_DOCUMENT_BYTES = 8 * 1024 * 1024
 
 
-class Scope(Enum):
-    """Which daemons hold a document."""
-
-    EVERYWHERE = "everywhere"
-    CELL = "cell"
-
-
 def plan_document(region: RegionName) -> str:
     """Returns the name of the plan of a cell."""
     return f"plan/{region}"
@@ -52,11 +42,6 @@
     return f"vms/{region}"
 
 
-def scope_of(name: str) -> Scope:
-    """Returns which daemons hold a document."""
-    return Scope.EVERYWHERE if name == CONFIGURATION else Scope.CELL
-
-
 def compress(content: bytes) -> bytes:
     """Returns content as sent between daemons."""
     return zlib.compress(content, level=6)
--- a/lycheepin/cluster/wire.py
+++ b/lycheepin/cluster/wire.py
@@ -14,10 +14,9 @@
 
 from lycheepin.generated.messages import Envelope
 
-__all__ = ["MAX_DATAGRAM_BYTES", "decode_envelope", "encode_envelope", "peer_token"]
+__all__ = ["decode_envelope", "encode_envelope", "peer_token"]
 
 DIGEST_BYTES = 16
-MAX_DATAGRAM_BYTES = 60_000
 
 _FACTORY = TCyBinaryProtocolFactory()
 
--- a/lycheepin/errors.py
+++ b/lycheepin/errors.py
@@ -36,7 +36,6 @@
     HOME_UNREACHABLE = "home_unreachable"
     ID_EXPIRED = "id_expired"
     ANSWER_NOT_KEPT = "answer_not_kept"
-    LEAVING = "leaving"
     FORBIDDEN = "forbidden"
     CONFLICT = "conflict"
     STORE_UNAVAILABLE = "store_unavailable"
@@ -71,7 +70,6 @@
     ErrorKind.HOME_UNREACHABLE: Answer(502, Outcome.OUTCOME_UNKNOWN, "the home is not reachable"),
     ErrorKind.ID_EXPIRED: Answer(409, Outcome.OUTCOME_UNKNOWN, "the request id has expired"),
     ErrorKind.ANSWER_NOT_KEPT: Answer(409, Outcome.OUTCOME_UNKNOWN, "it ran; answer not kept"),
-    ErrorKind.LEAVING: Answer(503, Outcome.NOT_RUN, "this entry VM is leaving"),
     ErrorKind.FORBIDDEN: Answer(403, Outcome.NOT_RUN, "the operator key is missing or wrong"),
     ErrorKind.CONFLICT: Answer(409, Outcome.NOT_RUN, "another change came first"),
     ErrorKind.STORE_UNAVAILABLE: Answer(503, Outcome.OUTCOME_UNKNOWN, "the store didn't answer"),
--- a/lycheepin/steering/admission.py
+++ b/lycheepin/steering/admission.py
@@ -110,6 +110,7 @@
         self._pool = pool
         self._queues: defaultdict[ServiceName, FairQueue[Ticket]] = defaultdict(FairQueue)
         self._endpoints: dict[ServiceName, tuple[Resource, ...]] = {}
+        self._capped: frozenset[Resource] = frozenset()
         self.refused: defaultdict[ErrorKind, int] = defaultdict(int)
 
     def set_endpoints(self, endpoints: dict[ServiceName, tuple[Resource, ...]]) -> None:
@@ -224,8 +225,6 @@
         """Replaces the shift and link resources that have a cap."""
         self._capped = resources
 
-    _capped: frozenset[Resource] = frozenset()
-
     def _shift_allowed(self, shift: Resource) -> bool:
         """Returns whether a shifted request fits its cap; without a cap it always does."""
         return shift not in self._capped or self._ledger.available(shift) > 0
--- a/lycheepin/steering/ledger.py
+++ b/lycheepin/steering/ledger.py
@@ -10,7 +10,6 @@
 
 import heapq
 from collections import defaultdict
-from collections.abc import Iterator
 from dataclasses import dataclass
 
 from lycheepin.names import Incarnation, Resource, Revision
@@ -81,13 +80,6 @@
         """Returns the tokens that can be acquired now."""
         return max(0, self.allowance(resource) - self.in_use(resource))
 
-    def resources(self) -> Iterator[Resource]:
-        """Yields each resource with a limit or a borrowed token."""
-        yield from self._limits
-        for record in self._borrowed.values():
-            if record.resource not in self._limits:
-                yield record.resource
-
     def acquire(self, resource: Resource, count: int = 1) -> bool:
         """Takes `count` tokens into use and returns True, or returns False."""
         if count > self.available(resource):
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,6 +9,7 @@
 import matplotlib
 
 from measure.policy import measure_policy
+from measure.real import measure_region_loss, measure_upload_memory
 from measure.speed import measure_speed
 
 matplotlib.use("Agg")
@@ -41,7 +42,13 @@
     _print_speed(speed)
     policy = measure_policy()
     _print_policy(policy)
-    (FOLDER / "measure.json").write_text(json.dumps({"speed": speed, "policy": policy}, indent=1))
+    real = {
+        "upload": measure_upload_memory(),
+        "region_loss": [measure_region_loss(layout) for layout in ("prairie", "cire")],
+    }
+    _print_real(real)
+    found = {"speed": speed, "policy": policy, "real": real}
+    (FOLDER / "measure.json").write_text(json.dumps(found, indent=1), encoding="utf-8")
     _plot(policy)
     _write_page(speed, policy)
     return 0
@@ -65,6 +72,19 @@
         print(head + "".join(f"{row[column]:13.3f}" for column in COLUMNS))
 
 
+def _print_real(real: dict[str, Any]) -> None:
+    """Prints the scenarios on real processes."""
+    upload = real["upload"]
+    print(f"upload of 200 MiB: status {upload['status']}, memory +{upload['grown_mb']:.2f} MB")
+    for row in real["region_loss"]:
+        print(
+            f"{row['layout']}: {row['lost_region']} lost:"
+            f" answered from 1 s on {row['lost_callers_answered_after_1s']:.4f},"
+            f" unknown {row['unknown']} and NOT_RUN {row['not_run']} of {row['requests']},"
+            f" over cap {row['region_over_cap']}, ran twice {row['ran_twice']}"
+        )
+
+
 def _plot(rows: list[dict[str, Any]]) -> None:
     """Draws one picture for each layout: a panel for each figure, a group for each scenario."""
     for layout in dict.fromkeys(row["layout"] for row in rows):
@@ -84,6 +104,8 @@
             panel.set_xticks([i + 0.3 for i in range(len(scenarios))], scenarios, fontsize=8)
             if column == "p99_ms":
                 panel.set_yscale("log")
+            if column == "least_headroom":
+                panel.set_ylim(-1.0, 1.0)
         panels[0].legend(fontsize=8)
         figure.tight_layout()
         figure.savefig(FOLDER / f"policy-{layout}.png", dpi=90)
--- a/measure/fakes.py
+++ b/measure/fakes.py
@@ -26,16 +26,22 @@
 
 DESK = ServiceName("desk")
 REPORT_LAG_S = 2.0
+RETRY_AFTER_S = 0.5
 
 
-@dataclass(frozen=True)
+@dataclass(eq=False)
 class Arrival:
-    """One request: when it comes, whose it is, its class and its share of work."""
+    """One request: when it comes, whose it is, its class and its share of work.
+
+    A caller that has no answer within RETRY_AFTER_S sends it again, at most `tries` times in all.
+    """
 
     time_s: float
     fleet: str
     work: WorkClass
     work_s: float
+    tries: int = 1
+    answered: bool = False
 
 
 @dataclass
@@ -97,6 +103,15 @@
         """Counts a request and hands it to the policy."""
         self.outcome.requests[arrival.work.name] += 1
         self.outcome.fleet_requests[arrival.fleet] += 1
+        self._try(arrival, policy)
+
+    def _try(self, arrival: Arrival, policy: Policy) -> None:
+        """Hands a request to the policy, and again later while it has no answer."""
+        if arrival.answered or arrival.tries < 1:
+            return
+        arrival.tries -= 1
+        if arrival.tries:
+            self.at(self.now_s + RETRY_AFTER_S, lambda: self._try(arrival, policy))
         policy.submit(arrival)
 
     def send(self, index: int, arrival: Arrival, done: Callable[[], None]) -> None:
@@ -122,7 +137,10 @@
         self.outcome.peak_in_flight = max(self.outcome.peak_in_flight, in_flight)
 
     def _record(self, arrival: Arrival) -> None:
-        """Records an answer."""
+        """Records an answer; a second one to the same request counts for nothing."""
+        if arrival.answered:
+            return
+        arrival.answered = True
         latency_s = self.now_s - arrival.time_s
         self.outcome.latencies_s.setdefault(arrival.work.name, []).append(latency_s)
         if latency_s * 1000 <= arrival.work.answer_target_ms:
--- a/measure/policy.py
+++ b/measure/policy.py
@@ -33,6 +33,7 @@
     frozen_reports: bool = False
     surge: float = 1.0
     peak: float = 1.0
+    tries: int = 1
 
 
 SCENARIOS = (
@@ -41,6 +42,7 @@
     Scenario("reports frozen", 0.6, frozen_reports=True),
     Scenario("one maker surges", 0.5, surge=6.0),
     Scenario("season peak over capacity", 0.7, peak=2.0),
+    Scenario("retry storm", 0.7, peak=1.6, tries=4),
 )
 LAYOUTS = {"prairie": (10, 9), "cire": (10, 5)}
 
@@ -62,7 +64,7 @@
                 break
             work = CONFIRM if source.random() < SHARE_CONFIRM else BROWSE
             work_s = WORK_S[work.name] * source.lognormvariate(-0.125, 0.5)
-            found.append(Arrival(time_s, fleet, work, work_s))
+            found.append(Arrival(time_s, fleet, work, work_s, scenario.tries))
     return sorted(found, key=lambda arrival: arrival.time_s)
 
 
