--- a/lycheepin/steering/blocks.py
+++ b/lycheepin/steering/blocks.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import ipaddress
+import socket
 from array import array
 from bisect import bisect_right
 from collections.abc import Iterable
@@ -11,6 +11,8 @@
 
 __all__ = ["BlockTable"]
 
+ADDRESS_BITS = 32
+
 _NO_REGION = 0xFFFF
 
 
@@ -26,14 +28,18 @@
 
     @classmethod
     def from_blocks(cls, blocks: Iterable[tuple[str, RegionName]]) -> BlockTable:
-        """Returns the table of CIDR blocks; a longer prefix goes before a shorter one."""
+        """Returns the table of CIDR blocks; a longer prefix goes before a shorter one.
+
+        Raises ValueError for a block that is not `address/length`.
+        """
         networks = []
         names: dict[RegionName, int] = {}
         for block, region in blocks:
-            network = ipaddress.IPv4Network(block)
+            address, _, length = block.partition("/")
             index = names.setdefault(region, len(names))
-            first = int(network.network_address)
-            networks.append((first, network.prefixlen, first + network.num_addresses, index))
+            first = _to_number(address)
+            size = 1 << (ADDRESS_BITS - int(length))
+            networks.append((first, int(length), first + size, index))
         starts, values = _flatten(sorted(networks))
         return cls(tuple(names), starts, values)
 
@@ -47,13 +53,19 @@
         No IPv6 address is in any block.
         """
         if ":" in address:
-            ipaddress.IPv6Address(address)
             return None
-        number = int(ipaddress.IPv4Address(address))
-        value = self._values[bisect_right(self._starts, number) - 1]
+        value = self._values[bisect_right(self._starts, _to_number(address)) - 1]
         return None if value == _NO_REGION else self._regions[value]
 
 
+def _to_number(address: str) -> int:
+    """Returns an IPv4 address as a number; raises ValueError for other text."""
+    try:
+        return int.from_bytes(socket.inet_pton(socket.AF_INET, address))
+    except OSError as error:
+        raise ValueError(f"not an IPv4 address: {address[:40]!r}") from error
+
+
 def _flatten(networks: list[tuple[int, int, int, int]]) -> tuple[array[int], array[int]]:
     """Returns interval starts and region indexes of nested networks in address order."""
     starts = array("Q", [0])
@@ -76,5 +88,5 @@
         close_before(first)
         emit(first, index)
         enclosing.append((end, index))
-    close_before(1 << 32)
+    close_before(1 << ADDRESS_BITS)
     return starts, values
--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -9,7 +9,7 @@
 import matplotlib
 
 from measure.policy import measure_policy
-from measure.real import measure_region_loss, measure_upload_memory
+from measure.real import measure_region_loss, measure_surge, measure_upload_memory
 from measure.speed import measure_speed
 
 matplotlib.use("Agg")
@@ -44,6 +44,7 @@
     _print_policy(policy)
     real = {
         "upload": measure_upload_memory(),
+        "surge": [measure_surge(layout) for layout in ("prairie", "cire")],
         "region_loss": [measure_region_loss(layout) for layout in ("prairie", "cire")],
     }
     _print_real(real)
@@ -76,6 +77,12 @@
     """Prints the scenarios on real processes."""
     upload = real["upload"]
     print(f"upload of 200 MiB: status {upload['status']}, memory +{upload['grown_mb']:.2f} MB")
+    for row in real["surge"]:
+        shares = ", ".join(f"{name} {part:.3f}" for name, part in row["answered"].items())
+        print(
+            f"{row['layout']}: {row['surging']} surges: answered {shares};"
+            f" over cap {row['region_over_cap']}, NOT_RUN {row['not_run']} of {row['requests']}"
+        )
     for row in real["region_loss"]:
         print(
             f"{row['layout']}: {row['lost_region']} lost:"
--- a/measure/real.py
+++ b/measure/real.py
@@ -12,7 +12,7 @@
 from standins.lab import Lab, check
 from standins.layouts import LAYOUTS
 
-__all__ = ["measure_region_loss", "measure_upload_memory"]
+__all__ = ["measure_region_loss", "measure_surge", "measure_upload_memory"]
 
 PROGRAM = ["dist/lycheepin"]
 UPLOAD_BYTES = 200 * 1024 * 1024
@@ -20,8 +20,10 @@
 SAMPLE_S = 0.02
 LOAD_S = 24.0
 LOSS_AFTER_S = 8.0
-LOST = "Alberta"
 WIDE_SHIFT_CAP = 200
+SURGE_S = 16.0
+SURGE_SLOW = 40.0
+SURGE_FACTOR = 5.0
 
 
 def measure_upload_memory() -> dict[str, float]:
@@ -101,3 +103,36 @@
         **{k: report[k] for k in ("requests", "whole", "not_run", "unknown", "ran_twice")},
         **{k: report[k] for k in ("region_over_cap", "not_run_but_ran", "shifted", "peaks")},
     }
+
+
+def measure_surge(layout_name: str) -> dict[str, Any]:
+    """Returns the part of each maker's requests that were answered beside one maker's surge.
+
+    Endpoints work SURGE_SLOW times as long, so that one machine's callers can fill all slots.
+    """
+    layout = LAYOUTS[layout_name]
+    lab = Lab(layout, pathlib.Path(f"build/measure/surge-{layout_name}"), PROGRAM, 4)
+    try:
+        lab.start()
+        addresses = lab.endpoint_addresses()
+        for index in range(1, len(layout.regions) + 1):
+            lab.endpoint_call(index, "set", {"addresses": addresses, "slow": SURGE_SLOW})
+        scale = {layout.fleets[0]: SURGE_FACTOR, "photo": 0.1}
+        for process in lab.start_callers(SURGE_S, scale):
+            process.wait(SURGE_S + 60)
+        records, found = lab.collect()
+    finally:
+        lab.stop()
+    report = check(layout, records, found)
+    answered = {}
+    for fleet in layout.fleets:
+        requests = sum(caller["fleets"][fleet].get("requests", 0) for caller in found)
+        whole = sum(caller["fleets"][fleet].get("whole", 0) for caller in found)
+        answered[fleet] = whole / max(1, requests)
+    return {
+        "layout": layout_name,
+        "surging": layout.fleets[0],
+        "answered": answered,
+        **{k: report[k] for k in ("requests", "whole", "not_run", "unknown", "kinds", "peaks")},
+        **{k: report[k] for k in ("region_over_cap", "ran_twice", "not_run_but_ran")},
+    }
