--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,76 @@
+"""Tests of the store's adapter: what is certain after each answer, and after none."""
+
+import asyncio
+import unittest
+
+from lycheepin.daemon.calls import Caller
+from lycheepin.generated.settings import Address
+from lycheepin.platform.store import (
+    Conflict,
+    HttpStore,
+    Missing,
+    StoreValue,
+    Unavailable,
+    Unchanged,
+    Written,
+)
+from lycheepin.platform.vms import decode_vm_list
+
+HOST = "127.77.0.3"
+
+
+class StoreTest(unittest.IsolatedAsyncioTestCase):
+    async def serve(self, raw: bytes) -> HttpStore:
+        """Returns an adapter of a store that always answers with these bytes."""
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(raw)
+            writer.close()
+
+        server = await asyncio.start_server(answer, HOST, 0)
+        self.addCleanup(server.close)
+        return HttpStore(Caller(HOST), Address(HOST, server.sockets[0].getsockname()[1]))
+
+    async def test_answers(self) -> None:
+        empty = b"content-length: 0\r\n"
+        cases = (
+            (b"HTTP/1.1 200 OK\r\nx-revision: 7\r\n" + empty, StoreValue(b"", 7), Written(7)),
+            (b"HTTP/1.1 404 X\r\n" + empty, Missing(), None),
+            (b"HTTP/1.1 409 X\r\n" + empty, None, Conflict()),
+        )
+        for head, read, written in cases:
+            store = await self.serve(head + b"\r\n")
+            if read is not None:
+                self.assertEqual(await store.get("k"), read)
+            if written is not None:
+                self.assertEqual(await store.compare_and_swap("k", 1, b""), written)
+
+    async def test_a_write_without_a_clear_answer_may_have_taken_effect(self) -> None:
+        for raw in (
+            b"",
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\ncut",
+            b"HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n",
+            b"nonsense\r\n\r\n",
+        ):
+            store = await self.serve(raw)
+            outcome = await store.compare_and_swap("k", 1, b"v")
+            assert isinstance(outcome, Unavailable), raw
+            self.assertTrue(outcome.sent)
+
+    async def test_a_write_that_found_no_store_took_no_effect(self) -> None:
+        store = HttpStore(Caller(HOST), Address(HOST, 1))
+        outcome = await store.compare_and_swap("k", 1, b"v")
+        assert isinstance(outcome, Unavailable)
+        self.assertFalse(outcome.sent)
+
+    async def test_watch_without_a_change(self) -> None:
+        store = await self.serve(b"HTTP/1.1 304 X\r\n\r\n")
+        self.assertEqual(await store.watch("k", 3, 0.1), Unchanged())
+
+
+class VmListTest(unittest.TestCase):
+    def test_broken_lists_are_errors(self) -> None:
+        for content in (b"", b"[]", b"{}", b'{"revision": 1, "endpoints": [{}], "entries": []}'):
+            with self.assertRaises(ValueError):
+                decode_vm_list(content)
