Lending tested end to end between two daemons; a loan taken back is not repeated for ever

Cause: a loan whose borrower ended stayed in the list of loans to repeat. Found by reading. Ruled out: double use (an ended borrower accepts nothing). Change: loans that are no longer in the ledger are struck off. Tests lose half of the messages and repeat some; the sum of what both may use is checked after each round. Conclusion: slots come when needed and go back.

--- a/lycheepin/daemon/lending.py
+++ b/lycheepin/daemon/lending.py
@@ -49,7 +49,12 @@
     def advance(self, now_s: float) -> None:
         """Repeats loans and repayments, asks for slots when requests wait, and repays."""
         members = {m.incarnation: m for m in self._node.membership.members()}
+        out = {record.key for record in self._node.ledger.loans_out()}
         for record in list(self._unconfirmed.values()):
+            if record.key not in out:
+                # The borrower has ended, and its tokens came back with a plan.
+                del self._unconfirmed[record.key.number]
+                continue
             self._send_loan(record, members.get(record.borrower))
         for key in list(self._repaying):
             self._send_repayment(key, members.get(key.lender))
--- /dev/null
+++ b/tests/daemon/test_lending.py
@@ -0,0 +1,144 @@
+"""Tests of lending between two daemons over a network that loses and repeats messages."""
+
+import json
+import random
+import unittest
+
+from lycheepin.clocks import SystemClock
+from lycheepin.cluster.documents import CONFIGURATION, Copy, plan_document, vms_document
+from lycheepin.configuration import check_configuration, encode_change, follow_change
+from lycheepin.daemon.lending import Lending
+from lycheepin.daemon.node import Node
+from lycheepin.generated.messages import Envelope
+from lycheepin.generated.settings import Address as AddressSetting
+from lycheepin.generated.settings import DaemonSettings
+from lycheepin.names import Address, FleetName, Incarnation, Revision, ServiceName
+from lycheepin.steering.admission import Start, Ticket, Wait
+from lycheepin.steering.capacity import slot_resource
+from lycheepin.steering.endpoints import Result
+from lycheepin.steering.plan import Grant, Plan, encode_plan
+from tests.daemon.test_requests import CONFIGURATION_VALUE
+
+PLATFORM = AddressSetting("127.0.0.1", 1)
+DESK = ServiceName("desk")
+SLOTS = 4
+
+
+def make_node(number: int) -> Node:
+    """Returns a daemon of a cell of two; the first holds all slots of the one endpoint."""
+    settings = DaemonSettings(
+        f"f/v{number}", "z", "r", f"127.0.0.{number}", PLATFORM, PLATFORM, "k" * 16
+    )
+    node = Node(settings, SystemClock(), Incarnation(number))
+    document = check_configuration(CONFIGURATION_VALUE).unwrap()
+    change = encode_change(follow_change(None, "c", "a", "s", document))
+    vms = {"revision": 1, "entries": [], "endpoints": [
+        {"name": "f/e", "service": "f/s", "address": "127.0.0.9", "port": 1, "zone": "z",
+         "region": "r", "slots": SLOTS, "state": "live"}]}  # fmt: skip
+    node.accept(Copy(CONFIGURATION, Revision(1), change))
+    node.accept(Copy(vms_document(node.region), Revision(1), json.dumps(vms).encode()))
+    assert node.vms is not None
+    resource = slot_resource(node.vms.endpoints[0])
+    grants = {Incarnation(1): {resource: Grant(SLOTS, SLOTS)}, Incarnation(2): {}}
+    plan = encode_plan(Plan(Revision(1), grants))
+    node.accept(Copy(plan_document(node.region), Revision(1), plan))
+    return node
+
+
+class Pair:
+    """Two daemons and the messages between them."""
+
+    def __init__(self, loss: float) -> None:
+        self._random = random.Random(4)
+        self._loss = loss
+        self.now_s = 100.0
+        self.nodes = {f"127.0.0.{n}": make_node(n) for n in (1, 2)}
+        first, second = self.nodes.values()
+        first.membership._absorb_member(second.membership.own, 0.0)
+        second.membership._absorb_member(first.membership.own, 0.0)
+        self.lending = {
+            address: Lending(node, self._sender(address), self._members(node))
+            for address, node in self.nodes.items()
+        }
+        self._queue: list[tuple[str, str, Envelope]] = []
+
+    def _sender(self, source: str):
+        return lambda address, port, envelope: self._queue.append((source, address, envelope))
+
+    def _members(self, node: Node):
+        return lambda: node.membership.reachable()
+
+    def run(self, rounds: int) -> None:
+        """Lets both act, and delivers what is not lost, some of it twice."""
+        for _ in range(rounds):
+            self.now_s += 0.2
+            for lending in self.lending.values():
+                lending.advance(self.now_s)
+            waiting, self._queue = self._queue, []
+            for source, target, envelope in waiting:
+                for _ in range(self._random.choice((1, 1, 2))):
+                    if self._random.random() >= self._loss:
+                        self._deliver(source, target, envelope)
+            self.check()
+
+    def _deliver(self, source: str, target: str, envelope: Envelope) -> None:
+        lending, sender = self.lending[target], self.nodes[source].incarnation
+        address = Address(source)
+        if envelope.loan_request is not None:
+            lending.lend(envelope.loan_request, sender)
+        elif envelope.loan is not None:
+            lending.receive_loan(envelope.loan, address, 1)
+        elif envelope.loan_receipt is not None:
+            lending.confirm_loan(envelope.loan_receipt)
+        elif envelope.repayment is not None:
+            lending.receive_repayment(envelope.repayment, address, 1)
+        elif envelope.repayment_receipt is not None:
+            lending.confirm_repayment(envelope.repayment_receipt, sender)
+
+    def check(self) -> None:
+        """Raises AssertionError when both together may use more than there are slots."""
+        total = sum(
+            max(node.ledger.allowance(r), node.ledger.in_use(r))
+            for node in self.nodes.values()
+            for r in node.services[DESK]
+        )
+        assert total <= SLOTS, total
+
+
+class LendingTest(unittest.TestCase):
+    def run_with_loss(self, loss: float) -> None:
+        pair = Pair(loss)
+        lender, borrower = pair.nodes.values()
+        work = CONFIGURATION_VALUE["services"][0]["classes"][0]["name"]
+        assert borrower.view is not None
+        item = next(w for w in borrower.view.service(DESK).classes if w.name == work)
+        ticket = Ticket(FleetName("f"), DESK, item, 10_000.0)
+        borrower.admission._queues[DESK].push(ticket.fleet, ticket, False, 10_000.0)
+        pair.run(30)
+        self.assertGreater(borrower.admission.granted(DESK), 0)
+        (start,) = borrower.admission.poll(pair.now_s)
+        assert isinstance(start, Start)
+        pair.run(30)
+        self.assertEqual(borrower.admission.in_use(DESK), 1)
+        borrower.admission.finish(start, Result.ANSWERED, 0.1, pair.now_s)
+        pair.run(60)
+        self.assertEqual(borrower.admission.granted(DESK), 0)
+        self.assertEqual(lender.admission.granted(DESK), SLOTS)
+
+    def test_slots_come_when_needed_and_go_back(self) -> None:
+        self.run_with_loss(0.0)
+
+    def test_lost_and_repeated_messages_lose_no_slot(self) -> None:
+        self.run_with_loss(0.5)
+
+    def test_a_daemon_whose_own_requests_wait_lends_nothing(self) -> None:
+        pair = Pair(0.0)
+        lender = pair.nodes["127.0.0.1"]
+        assert lender.view is not None
+        item = lender.view.service(DESK).classes[0]
+        for _ in range(SLOTS + 1):
+            decision = lender.admission.submit(Ticket(FleetName("f"), DESK, item, 1e9), 1.0)
+        self.assertIsInstance(decision, Wait)
+        self.assertEqual(lender.admission.free(DESK), 0)
+        pair.run(5)
+        self.assertEqual(lender.ledger.loans_out(), [])
