--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -4,6 +4,7 @@
 import json
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest import mock
 
 from lycheepin.clocks import SystemClock
 from lycheepin.cluster.documents import CONFIGURATION, Copy, plan_document, vms_document
@@ -22,7 +23,7 @@
 from lycheepin.names import Address, Incarnation, Revision
 from lycheepin.platform.store import HttpStore
 from lycheepin.steering.capacity import slot_resource
-from lycheepin.steering.homes import RequestId
+from lycheepin.steering.homes import RequestId, RequestTable, Run
 from lycheepin.steering.plan import Grant, Plan, encode_plan
 from standins.http_client import Answer, Failed, fetch
 
@@ -204,6 +205,14 @@
                 self.assertEqual(answer.body, b"ok")
             self.assertEqual(len(system.requests), 1)
 
+    async def test_the_count_of_runs_shows_a_home_that_forgets(self) -> None:
+        with mock.patch.object(RequestTable, "begin", lambda table, request, now_ms: Run()):
+            async with System([OK]) as system:
+                request_id = system.new_id("n5")
+                for _ in range(2):
+                    await system.ask("POST", "/o/1", lycheepin_request_id=request_id)
+                self.assertEqual(len(system.requests), 2)
+
     async def test_id_of_an_ended_incarnation_does_not_run(self) -> None:
         async with System([OK]) as system:
             request_id = system.new_id("n3", incarnation=4)
