Tests over sockets no longer depend on the machine's speed

Cause: deadlines of 800 ms in the tests' configuration could pass on a busy machine. Change: deadlines of 20 s where time is not the matter; the one test of a timeout has a class of its own. No expectation was changed.

--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -41,9 +41,11 @@
             "members": ["f/s"],
             "classes": [
                 {"name": "browse", "path_prefix": "/b", "answer_target_ms": 500,
-                 "deadline_ms": 800, "headroom_percent": 0, "methods": ["GET", "HEAD"]},
+                 "deadline_ms": 20000, "headroom_percent": 0, "methods": ["GET", "HEAD"]},
+                {"name": "brief", "path_prefix": "/t", "answer_target_ms": 500,
+                 "deadline_ms": 1500, "headroom_percent": 0},
                 {"name": "order", "path_prefix": "/o", "methods": ["POST"], "protected": True,
-                 "answer_target_ms": 500, "deadline_ms": 800, "headroom_percent": 0},
+                 "answer_target_ms": 500, "deadline_ms": 20000, "headroom_percent": 0},
             ],
         }
     ],
@@ -123,7 +125,7 @@
 
     async def ask(self, method: str = "GET", target: str = "/b/1", **more: str) -> Answer | Failed:
         headers = [*FLEET, *((name.replace("_", "-"), value) for name, value in more.items())]
-        return await fetch(HOST, HOST, self.port, method, target, headers, timeout_s=5.0)
+        return await fetch(HOST, HOST, self.port, method, target, headers, timeout_s=30.0)
 
     def new_id(self, nonce: str, incarnation: int = 5) -> str:
         expires_ms = self.node.clock.wall_ms() + 30_000
@@ -234,8 +236,8 @@
 
     async def test_late_answer_never_reaches_another_caller(self) -> None:
         async with System([hang, OK]) as system:
-            self.expect(await system.ask(), 504, "endpoint_timeout", "OUTCOME_UNKNOWN")
-            await asyncio.sleep(0.3)
+            late = await system.ask(target="/t/1")
+            self.expect(late, 504, "endpoint_timeout", "OUTCOME_UNKNOWN")
             answer = await system.ask()
             self.expect(answer, 200)
 
--- a/tests/daemon/test_server.py
+++ b/tests/daemon/test_server.py
@@ -23,7 +23,7 @@
 class OperatorKeyTest(unittest.IsolatedAsyncioTestCase):
     async def ask(self, system: System, path: str, *headers: tuple[str, str]) -> Answer:
         answer = await fetch(
-            HOST, HOST, system.port, "GET", f"/_lycheepin/{path}", list(headers), timeout_s=5.0
+            HOST, HOST, system.port, "GET", f"/_lycheepin/{path}", list(headers), timeout_s=30.0
         )
         assert isinstance(answer, Answer)
         return answer
@@ -64,7 +64,7 @@
             before = system.node.view
             for body in (b"", b"[]", b"{}", json.dumps({"change_id": "x"}).encode()):
                 answer = await fetch(
-                    HOST, HOST, system.port, "POST", "/_lycheepin/config", [], body, 5.0
+                    HOST, HOST, system.port, "POST", "/_lycheepin/config", [], body, 30.0
                 )
                 assert isinstance(answer, Answer)
                 self.assertEqual(answer.status, 400)
@@ -86,7 +86,7 @@
                 reader, writer = await asyncio.open_connection(HOST, system.port)
                 writer.write(b"".join(pieces) + b"\r\n\r\n")
                 writer.write_eof()
-                async with asyncio.timeout(5):
+                async with asyncio.timeout(30):
                     answer = await reader.read()
                 writer.close()
                 if answer:
