A damaged value in the store is refused, whatever is wrong inside it

Cause: decoders caught some of the errors that a damaged JSON value raises. An infinite number or a list in place of an object raised OverflowError or AttributeError in the task that read it; the planner's task did not catch even ValueError, and a task that fails ends the daemon. Ruled out: peers (a copy is checked by the daemon that reads it from the platform first). Change: the decoders themselves turn every such error into a refusal; the planner backs off. Conclusion: a damaged value changes nothing.

--- a/lycheepin/configuration.py
+++ b/lycheepin/configuration.py
@@ -11,6 +11,7 @@
 from returns.result import Failure, Result, Success
 
 from lycheepin import validation
+from lycheepin.errors import DECODE_ERRORS
 from lycheepin.generated.settings import Configuration, Service, WorkClass
 from lycheepin.jsonc import Path, SyntaxFault, parse_document
 from lycheepin.names import QualifiedName, RegionName, Revision, ServiceName
@@ -117,7 +118,7 @@
         change_id, author, summary = (str(value[k]) for k in ("change_id", "author", "summary"))
         history = tuple(value.get("history", ()))
         document = value["document"]
-    except (ValueError, KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         return Failure((Problem((), f"not an encoded change: {error!r}"),))
     return check_configuration(document).map(
         lambda built: Change(number, change_id, author, summary, built, history)
--- a/lycheepin/daemon/control.py
+++ b/lycheepin/daemon/control.py
@@ -10,6 +10,7 @@
 from lycheepin.cluster.membership import MemberState
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.peers import PeerTask
+from lycheepin.errors import DECODE_ERRORS
 from lycheepin.names import Revision
 from lycheepin.platform.store import (
     Conflict,
@@ -174,7 +175,11 @@
         self._node.metrics.count("store_calls", "plan_read")
         match await self._store.get(self._node.plan_name):
             case StoreValue(content, revision):
-                plan = decode_plan(content)
+                try:
+                    plan = decode_plan(content)
+                except ValueError as error:
+                    self._node.log.warning("the store's plan is refused: {}", error)
+                    return False
                 self._peers.publish(Copy(self._node.plan_name, plan.revision, content))
                 if plan.revision != self._node.plan.revision:
                     self._node.log.warning("the store's plan {} is behind", plan.revision)
@@ -242,5 +247,5 @@
     """
     try:
         return Revision(int(json.loads(content)["number"]))
-    except (ValueError, KeyError, TypeError):
+    except DECODE_ERRORS:
         return None
--- a/lycheepin/daemon/node.py
+++ b/lycheepin/daemon/node.py
@@ -116,7 +116,7 @@
                 self.vms = decode_vm_list(copy.content)
                 self._compare_entries(self.vms)
                 return True
-        except (ValueError, KeyError, TypeError) as error:
+        except ValueError as error:
             self.log.warning("document {} refused: {!r}", copy.name, error)
         return False
 
--- a/lycheepin/errors.py
+++ b/lycheepin/errors.py
@@ -5,7 +5,10 @@
 from dataclasses import dataclass
 from enum import Enum
 
-__all__ = ["ANSWERS", "Answer", "ErrorKind", "Fault", "Outcome"]
+__all__ = ["ANSWERS", "DECODE_ERRORS", "Answer", "ErrorKind", "Fault", "Outcome"]
+
+# What reading fields of a decoded JSON value raises when the value is damaged.
+DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
 
 
 class Outcome(Enum):
--- a/lycheepin/platform/vms.py
+++ b/lycheepin/platform/vms.py
@@ -9,6 +9,7 @@
 from urllib.parse import quote
 
 from lycheepin.daemon.calls import Called, Caller
+from lycheepin.errors import DECODE_ERRORS
 from lycheepin.generated.settings import Address as AddressSetting
 from lycheepin.names import Address, QualifiedName, RegionName, Revision, ZoneName
 
@@ -72,7 +73,7 @@
         endpoints = tuple(_decode_endpoint(item) for item in value["endpoints"])
         entries = tuple(_decode_entry(item) for item in value["entries"])
         return VmList(Revision(int(value["revision"])), endpoints, entries)
-    except (KeyError, TypeError) as error:
+    except DECODE_ERRORS as error:
         raise ValueError(f"not a VM list: {error!r}") from error
 
 
--- a/lycheepin/steering/plan.py
+++ b/lycheepin/steering/plan.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from lycheepin.errors import DECODE_ERRORS
 from lycheepin.names import Address, Incarnation, Resource, Revision
 
 __all__ = ["Caps", "Evidence", "Grant", "Plan", "decode_plan", "encode_plan", "revise_plan"]
@@ -208,7 +209,14 @@
 
 def decode_plan(content: bytes) -> Plan:
     """Returns the plan in `content`; raises ValueError when it is not an encoded plan."""
-    value: dict[str, Any] = json.loads(content)
+    try:
+        return _build_plan(json.loads(content))
+    except DECODE_ERRORS as error:
+        raise ValueError(f"not an encoded plan: {error!r}") from error
+
+
+def _build_plan(value: dict[str, Any]) -> Plan:
+    """Returns the plan in a decoded value; raises one of DECODE_ERRORS when it is damaged."""
     grants = {
         Incarnation(int(holder)): {
             Resource(resource): Grant(int(limit), int(ceiling))
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -15,6 +15,7 @@
     encode_change,
     follow_change,
 )
+from lycheepin.daemon.control import read_number
 from lycheepin.daemon.node import Node
 from lycheepin.generated.settings import Address, Configuration, DaemonSettings
 from lycheepin.names import Incarnation, RegionName, Revision
@@ -72,3 +73,29 @@
             self.assertFalse(node.accept(Copy(name, Revision(5), content)))
             self.assertEqual(node.replicas.revision(name), 1 if name == CONFIGURATION else 0)
         self.assertIs(node.view, view)
+
+
+class DamagedDocumentTest(unittest.TestCase):
+    """Values of the right outline with wrong insides, as a damaged store could give."""
+
+    CHANGE = {"number": 9, "change_id": "", "author": "", "summary": "", "document": {}}
+    PLAN = {"revision": 9, "grants": {}, "retired": {}, "addresses": {}, "vm_revision": 0}
+    VMS = {"revision": 9, "endpoints": [], "entries": []}
+
+    def test_each_field_replaced_is_refused_or_harmless(self) -> None:
+        region = RegionName("Manitoba")
+        for name, value in (
+            (CONFIGURATION, self.CHANGE),
+            (plan_document(region), self.PLAN),
+            (vms_document(region), self.VMS),
+        ):
+            for field in value:
+                for damage in (float("inf"), float("nan"), None, [], [1], {"x": 1}, {"1": [1]}):
+                    content = json.dumps({**value, field: damage}).encode()
+                    with self.subTest(document=name, field=field, damage=damage):
+                        make_node().accept(Copy(name, Revision(9), content))
+
+    def test_a_damaged_number_is_no_number(self) -> None:
+        for number in (float("inf"), None, [], "x"):
+            content = json.dumps({**self.CHANGE, "number": number}).encode()
+            self.assertIsNone(read_number(content))
