--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -8,7 +8,7 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.gateway.dialect import Dialect
 from lycheepin.gateway.ingress import IncomingRequest
-from lycheepin.steering.fleet import Endpoint
+from lycheepin.steering.fleet import Endpoint, Fleet
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import end_to_end
 
@@ -36,10 +36,14 @@
 
 @dataclass(frozen=True)
 class NotRun:
-    """The request certainly did not run there; `sent` tells whether it arrived."""
+    """The request certainly did not run there; `sent` tells whether it arrived.
+
+    `full` tells that the endpoint had no free slot, as far as it said.
+    """
 
     kind: ErrorKind
     sent: bool
+    full: bool = False
 
 
 @dataclass(frozen=True)
@@ -55,7 +59,8 @@
 class Attempts:
     """Makes attempts over pooled connections."""
 
-    def __init__(self, pool: ConnectionPool, dialect: Dialect) -> None:
+    def __init__(self, fleet: Fleet, pool: ConnectionPool, dialect: Dialect) -> None:
+        self._fleet = fleet
         self._pool = pool
         self._dialect = dialect
 
@@ -72,7 +77,8 @@
                 connection = await self._pool.acquire(record.address, record.port)
                 started_s = loop.time()
                 attempt = await self._run(connection, request, body, endpoint, deadline_s)
-            endpoint.observe_answer(loop.time(), loop.time() - started_s)
+            if isinstance(attempt, Answered):
+                self._fleet.observe_answer(endpoint, loop.time(), loop.time() - started_s)
         except (BrokenAnswer, OSError, TimeoutError) as error:
             attempt = self._classify(connection, error, loop.time() >= deadline_s)
         except asyncio.CancelledError:
@@ -121,11 +127,11 @@
             await _stream_body(connection, request)
         head = await connection.head()
         connection.idle_limit_s = _idle_limit_s(head)
-        self._observe_load(endpoint, head)
+        full = self._observe_load(endpoint, head)
         if head.header(self._dialect.not_run) is not None or head.status == 421:
             await _drain_body(connection)
             kind = ErrorKind.ENDPOINT_REPLACED if head.status == 421 else ErrorKind.ENDPOINT_SHED
-            return NotRun(kind, True)
+            return NotRun(kind, True, full)
         if head.status < 300 and head.header(self._dialect.signature) is None:
             raise BrokenAnswer("success without a signature")
         return await _read_answer(connection, head)
@@ -135,12 +141,19 @@
         echoed = head.header(self._dialect.request_id)
         return echoed is None or identifier is None or echoed == identifier
 
-    def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> None:
-        """Takes in the load that an answer reports; a malformed report is no report."""
+    def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> bool:
+        """Takes in the load that an answer reports; returns whether all slots were in use.
+
+        An answer without a report, or with a malformed one, tells nothing of free slots.
+        """
         value = head.header(self._dialect.load)
         parts = value.split(b",") if value is not None else []
-        if len(parts) == 3 and all(part.strip().isdigit() for part in parts):
-            endpoint.observe_load(int(parts[0]), int(parts[1]))
+        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+            return True
+        running, waiting, slots = (int(part) for part in parts)
+        now_s = asyncio.get_running_loop().time()
+        endpoint.observe_load(now_s, running, waiting)
+        return running + waiting >= slots
 
     def _head(
         self, request: IncomingRequest, body: bytes, endpoint: Endpoint, left_s: float
--- a/lycheepin/gateway/path.py
+++ b/lycheepin/gateway/path.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import defaultdict
 from dataclasses import dataclass, field
+from zlib import crc32
 
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import Answered, Attempt, Attempts, Doubtful, NotRun
@@ -31,6 +32,7 @@
 # Time in seconds after which callers may come back to a daemon that has no configuration yet.
 STARTING_RETRY_S = 0.5
 MS_PER_S = 1000
+_DRAW_MASK = 0xFFFF
 
 
 class Shares:
@@ -167,6 +169,7 @@
             request.arrival_s + route.target_s,
             progress.deadline_s,
             frozenset(progress.tried),
+            (crc32(progress.identifier.encode()) & _DRAW_MASK) / _DRAW_MASK,
         )
 
     async def _attempt(
@@ -186,7 +189,7 @@
             endpoint=endpoint.record.id,
             rank=choice.rank,
             in_flight=endpoint.in_flight,
-            others=round(endpoint.others, 1),
+            others=round(endpoint.others(started_s), 1),
             slots=endpoint.record.slots,
             key=(request.header(self._dialect.object_key) or b"").decode("latin-1"),
             took_ms=int((loop.time() - started_s) * MS_PER_S),
@@ -201,20 +204,19 @@
             case Answered(head=head):
                 progress.sent += 1
                 progress.may_have_run = True
-                if head.status < 500:
-                    endpoint.observe_success()
-                else:
-                    self._suspect(endpoint, now_s)
+                endpoint.observe_success()
+                endpoint.observe_outcome(now_s, served=head.status < 500)
                 return str(head.status)
-            case NotRun(kind=kind, sent=sent):
+            case NotRun(kind=kind, sent=sent, full=full):
                 progress.sent += sent
                 progress.unreachable += not sent
                 if kind is ErrorKind.ENDPOINT_REPLACED:
                     self._log.write("endpoint_replaced", endpoint=endpoint.record.id)
                     self._fleet.mark_gone(endpoint.record.id)
                 elif kind is ErrorKind.ENDPOINT_SHED:
-                    endpoint.others = max(endpoint.others, float(endpoint.record.slots))
-                    self._suspect(endpoint, now_s)
+                    endpoint.observe_outcome(now_s, served=False)
+                    if full:
+                        endpoint.observe_full(now_s)
                 elif kind is ErrorKind.ENDPOINT_UNREACHABLE:
                     self._suspect(endpoint, now_s, at_once=True)
                 return kind.value
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -77,7 +77,7 @@
         placement = Placement(self.fleet, settings.region)
         self._dispatcher = Dispatcher(self.fleet, placement, settings.terms, settings.name)
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
-        attempts = Attempts(self._pool, platform.dialect)
+        attempts = Attempts(self.fleet, self._pool, platform.dialect)
         self._path = RequestPath(
             platform.dialect,
             self.fleet,
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -28,16 +28,21 @@
 # Requests that may wait at an endpoint for each of its slots, by priority; less urgent work
 # stops earlier so that more urgent work still finds room.
 WAITING_PER_SLOT = (1.0, 0.8, 0.5)
-# Part of the time to the answer target that a predicted answer may take.
-TARGET_PART = 1.0
+# How much sooner, as a part, the second home has to be expected to answer to be preferred.
+RANK_BIAS = 0.5
 # Shortest and longest time in seconds after which a refused caller is asked to come back.
-MIN_RETRY_AFTER_S = 0.15
-MAX_RETRY_AFTER_S = 1.0
+MIN_RETRY_AFTER_S = 0.2
+MAX_RETRY_AFTER_S = 1.3
+# Part of the time to come back over which the returns of callers are spread, either way.
+RETURN_SPREAD = 0.3
 
 
 @dataclass(frozen=True)
 class Demand:
-    """One attempt that needs an endpoint; times are monotonic seconds."""
+    """One attempt that needs an endpoint; times are monotonic seconds.
+
+    `draw` is a number from 0 to 1 of this request's own, by which callers' returns are spread.
+    """
 
     service: ServiceName
     object_key: str
@@ -47,6 +52,7 @@
     target_s: float
     deadline_s: float
     tried: frozenset[EndpointId] = frozenset()
+    draw: float = 0.5
 
 
 @dataclass(frozen=True)
@@ -93,16 +99,16 @@
             sound = listed
         warm = [endpoint for endpoint in sound if not endpoint.is_cold(now_s)]
         if warm:
-            return self._choose_warm(warm[:HOMES_PER_OBJECT], demand, now_s)
+            return self._choose_warm(warm, demand, now_s)
         cold = [endpoint for endpoint in sound or usable if endpoint.is_cold(now_s)]
         for rank, endpoint in enumerate(cold):
             identifier = endpoint.record.id
-            if endpoint.occupancy < endpoint.record.slots and self._cold.try_start(
+            if endpoint.load(now_s) < endpoint.record.slots and self._cold.try_start(
                 identifier, spec.cold_per_s, self._own, self.daemons, now_s
             ):
                 return Send(endpoint, rank)
         if not cold:
-            return self._choose_warm(usable[:HOMES_PER_OBJECT], demand, now_s)
+            return self._choose_warm(usable, demand, now_s)
         return Refuse(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
 
     def _is_usable(self, endpoint: Endpoint, demand: Demand) -> bool:
@@ -116,27 +122,34 @@
             and (not demand.homes or record.region in demand.homes)
         )
 
-    def _choose_warm(self, homes: Sequence[Endpoint], demand: Demand, now_s: float) -> Choice:
-        """Returns the first home with a free slot, else the one that answers soonest, in time."""
-        for rank, endpoint in enumerate(homes):
-            if endpoint.occupancy + 1 <= endpoint.record.slots:
-                return Send(endpoint, rank)
-        predicted = [(_predict_s(endpoint), rank) for rank, endpoint in enumerate(homes)]
-        answer_s, rank = min(predicted)
+    def _choose_warm(self, order: Sequence[Endpoint], demand: Demand, now_s: float) -> Choice:
+        """Returns a home of the object that can answer in time, or a refusal."""
+        homes = order[:HOMES_PER_OBJECT]
+        answer_s, rank = self._soonest(homes, now_s)
         endpoint = homes[rank]
+        slots = endpoint.record.slots
+        if endpoint.load(now_s) + 1 <= slots:
+            return Send(endpoint, rank)
         urgency = min(demand.priority, len(WAITING_PER_SLOT) - 1)
-        limit = endpoint.record.slots * (1 + WAITING_PER_SLOT[urgency])
-        left_s = TARGET_PART * (demand.target_s - now_s)
-        if endpoint.occupancy + 1 <= limit and answer_s <= left_s:
+        limit = slots * (1 + WAITING_PER_SLOT[urgency])
+        if endpoint.load(now_s) + 1 <= limit and now_s + answer_s <= demand.target_s:
             return Send(endpoint, rank)
-        excess = endpoint.occupancy + 1 - endpoint.record.slots
-        wait_s = endpoint.work_s * excess / max(1, endpoint.record.slots)
-        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
-        return Refuse(ErrorKind.NO_CAPACITY, retry_after_s)
-
-
-def _predict_s(endpoint: Endpoint) -> float:
-    """Returns the expected seconds from now to an answer of an endpoint."""
-    slots = max(1, endpoint.record.slots)
-    waiting = max(0.0, endpoint.occupancy + 1 - slots)
-    return endpoint.work_s * (1 + waiting / slots)
+        late = now_s + answer_s > demand.deadline_s
+        kind = ErrorKind.DEADLINE if late else ErrorKind.NO_CAPACITY
+        return self._refuse(endpoint, kind, demand.draw, now_s)
+
+    def _soonest(self, homes: Sequence[Endpoint], now_s: float) -> tuple[float, int]:
+        """Returns expected answer time and rank of the home to use; the first if about equal."""
+        predicted = [
+            (self._fleet.predict_s(endpoint, now_s) * (1 + RANK_BIAS * rank), rank)
+            for rank, endpoint in enumerate(homes)
+        ]
+        return min(predicted)
+
+    def _refuse(self, endpoint: Endpoint, kind: ErrorKind, draw: float, now_s: float) -> Refuse:
+        """Returns a refusal until what waits at the endpoint is expected to be done."""
+        slots = endpoint.record.slots
+        excess = max(0.0, endpoint.load(now_s) + 1 - slots)
+        wait_s = self._fleet.work_s(endpoint.record.service) * (1 + excess / slots)
+        wait_s *= 1 + RETURN_SPREAD * (2 * draw - 1)
+        return Refuse(kind, min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)))
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass
+from math import exp
 
 from lycheepin.names import Address, EndpointId, RegionName, ServiceName, ZoneName
 
@@ -16,10 +17,24 @@
 # Entries that lapsed in an outage of the store are back within 2 s of its return; 0.3 s are for
 # the way of the news to this daemon.
 REAPPEAR_S = 2.3
-# Weight of the newest sample in moving averages of load and work time.
-SMOOTHING = 0.25
-# Work time in seconds that an endpoint is given before it has answered anything.
-FIRST_WORK_S = 0.35
+# Weight of the newest sample in an endpoint's moving averages of load and work time.
+SMOOTHING = 0.3
+# Weight of the newest sample in a service's moving average of work time: some 20 answers.
+SERVICE_SMOOTHING = 0.05
+# Work time in seconds before a service has answered anything: its first work is on objects that
+# no endpoint knows yet.
+FIRST_WORK_S = 1.0
+# Time constants in seconds with which old beliefs give way: the load of others to none, an
+# endpoint's work time to its service's. An endpoint that is avoided is not heard from, and must
+# not be avoided for ever.
+LOAD_MEMORY_S = 3.0
+WORK_MEMORY_S = 5.0
+# Shortest work time in seconds that is believed.
+MIN_WORK_S = 0.001
+# Part of an endpoint's slots beyond which waiting is expected: estimates of load are late.
+CROWDED_PART = 0.7
+# Time in seconds that a request loses when it is turned away and has to be sent again.
+RETURN_COST_S = 0.5
 # First exclusion of an endpoint that failed, doubled up to the last, in seconds.
 FIRST_EXCLUSION_S = 0.5
 LAST_EXCLUSION_S = 4.0
@@ -49,32 +64,59 @@
 
     record: EndpointRecord
     in_flight: int = 0
-    others: float = 0.0
-    work_s: float = FIRST_WORK_S
     cold_until_s: float = 0.0
     excluded_until_s: float = 0.0
     exclusion_s: float = 0.0
     failures: int = 0
-    last_heard_s: float = 0.0
     missing_since_s: float | None = None
     gone: bool = False
-    oldest_sent_s: dict[int, float] = field(default_factory=dict)
-
-    @property
-    def occupancy(self) -> float:
-        """Requests that run or wait there: this daemon's own, and an estimate of the others'."""
-        return self.in_flight + self.others
-
-    def observe_load(self, running: int, waiting: int) -> None:
+    _others: float = 0.0
+    _others_at_s: float = 0.0
+    _extra_work_s: float = 0.0
+    _extra_work_at_s: float = 0.0
+    _turned_away: float = 0.0
+    _turned_away_at_s: float = 0.0
+
+    def others(self, now_s: float) -> float:
+        """Returns the estimate of the other daemons' requests that run or wait there."""
+        return self._others * exp((self._others_at_s - now_s) / LOAD_MEMORY_S)
+
+    def load(self, now_s: float) -> float:
+        """Returns the estimate of all requests that run or wait there."""
+        return self.in_flight + self.others(now_s)
+
+    def extra_work_s(self, now_s: float) -> float:
+        """Returns by how much its work takes longer than its service's, in seconds."""
+        return self._extra_work_s * exp((self._extra_work_at_s - now_s) / WORK_MEMORY_S)
+
+    def observe_load(self, now_s: float, running: int, waiting: int) -> None:
         """Takes in the load that an answer reported; this daemon's own part is known better."""
         others = max(0.0, running + waiting - self.in_flight)
-        self.others += SMOOTHING * (others - self.others)
-
-    def observe_answer(self, now_s: float, duration_s: float) -> None:
-        """Takes in an answer of the endpoint, good or bad."""
-        self.last_heard_s = now_s
-        crowding = max(1.0, self.occupancy / max(1, self.record.slots))
-        self.work_s += SMOOTHING * (duration_s / crowding - self.work_s)
+        before = self.others(now_s)
+        self._others = before + SMOOTHING * (others - before)
+        self._others_at_s = now_s
+
+    def turned_away(self, now_s: float) -> float:
+        """Returns the recent part of requests that it turned away or failed, 0 to 1."""
+        return self._turned_away * exp((self._turned_away_at_s - now_s) / WORK_MEMORY_S)
+
+    def observe_outcome(self, now_s: float, served: bool) -> None:
+        """Takes in whether a request was served."""
+        before = self.turned_away(now_s)
+        self._turned_away = before + SMOOTHING * ((0.0 if served else 1.0) - before)
+        self._turned_away_at_s = now_s
+
+    def observe_full(self, now_s: float) -> None:
+        """Takes in that the endpoint turned a request away: all its slots are in use."""
+        full = float(self.record.slots - self.in_flight)
+        self._others = max(self.others(now_s), full)
+        self._others_at_s = now_s
+
+    def observe_work(self, now_s: float, work_s: float, usual_s: float) -> None:
+        """Takes in the work time of an answer, and what is usual for the service."""
+        before = self.extra_work_s(now_s)
+        self._extra_work_s = before + SMOOTHING * (work_s - usual_s - before)
+        self._extra_work_at_s = now_s
 
     def observe_success(self) -> None:
         """Ends a suspicion."""
@@ -103,6 +145,8 @@
         self._by_service: dict[ServiceName, list[Endpoint]] = {}
         self.evacuated: set[ZoneName] = set()
         self.generation = 0
+        self._work_s: dict[ServiceName, float] = {}
+        self._answers: dict[ServiceName, int] = {}
         self._trusted_after_s = 0.0
         self._outage = False
         self.on_gone: Callable[[EndpointRecord], None] = lambda record: None
@@ -119,13 +163,36 @@
         """Yields all endpoints that are not known to be gone."""
         yield from self._endpoints.values()
 
+    def work_s(self, service: ServiceName) -> float:
+        """Returns the usual work time of a service in seconds."""
+        return self._work_s.get(service, FIRST_WORK_S)
+
+    def observe_answer(self, endpoint: Endpoint, now_s: float, duration_s: float) -> None:
+        """Takes in how long an answer took; what it waited for a slot is not work."""
+        service = endpoint.record.service
+        crowding = max(1.0, endpoint.load(now_s) / endpoint.record.slots)
+        work_s = duration_s / crowding
+        usual_s = self.work_s(service)
+        self._answers[service] = self._answers.get(service, 0) + 1
+        weight = max(SERVICE_SMOOTHING, 1 / self._answers[service])
+        self._work_s[service] = usual_s + weight * (work_s - usual_s)
+        endpoint.observe_work(now_s, work_s, usual_s)
+
+    def predict_s(self, endpoint: Endpoint, now_s: float) -> float:
+        """Returns the expected seconds from now to an answer of an endpoint."""
+        slots = endpoint.record.slots
+        work_s = max(
+            MIN_WORK_S, self.work_s(endpoint.record.service) + endpoint.extra_work_s(now_s)
+        )
+        crowd = max(0.0, endpoint.load(now_s) + 1 - CROWDED_PART * slots)
+        return work_s * (1 + crowd / slots) + RETURN_COST_S * endpoint.turned_away(now_s)
+
     def register(self, record: EndpointRecord, now_s: float) -> bool:
         """Takes in an entry; returns whether that changed who may be used."""
         known = self._endpoints.get(record.id)
         if known is None or known.record.born_ms != record.born_ms:
             endpoint = Endpoint(record)
             endpoint.cold_until_s = now_s + record.cold_s
-            endpoint.last_heard_s = now_s
             if known is not None:
                 self.on_gone(known.record)
             self._endpoints[record.id] = endpoint
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -15,12 +15,21 @@
         assert isinstance(choice, Send), choice
         return choice
 
+    def _teach(self, work_s: float) -> None:
+        """Lets the fleet learn a usual work time."""
+        for _ in range(200):
+            for endpoint in self.fleet.all():
+                self.fleet.observe_answer(endpoint, 0.0, work_s)
+
     def test_object_stays_at_its_first_home(self) -> None:
         first = self._choose().endpoint
         for _ in range(3):
             self.assertIs(self._choose().endpoint, first)
 
-    def test_full_home_spills_to_the_second_and_never_further(self) -> None:
+    def test_full_home_spills_to_the_second_and_never_to_a_busy_one(self) -> None:
+        self._teach(0.1)
+        for endpoint in self.fleet.all():
+            endpoint.in_flight = 2
         seen = []
         for _ in range(100):
             choice = self.dispatcher.choose(demand(), SPEC, 0.0)
@@ -33,17 +42,62 @@
         self.assertGreater(choice.retry_after_s, 0.0)
         self.assertLessEqual(choice.retry_after_s, MAX_RETRY_AFTER_S)
 
+    def test_home_that_turns_work_away_loses_it_to_the_second(self) -> None:
+        self._teach(0.2)
+        first = self._choose().endpoint
+        for _ in range(10):
+            first.observe_outcome(0.0, served=False)
+        self.assertIsNot(self._choose().endpoint, first)
+
+    def test_homes_are_kept_while_all_endpoints_turn_work_away(self) -> None:
+        self._teach(0.2)
+        first = self._choose().endpoint
+        for endpoint in self.fleet.all():
+            for _ in range(10):
+                endpoint.observe_outcome(0.0, served=False)
+        self.assertIs(self._choose().endpoint, first)
+
+    def test_returns_of_refused_callers_are_spread_over_the_time_that_room_takes(self) -> None:
+        self._teach(0.4)
+        for endpoint in self.fleet.all():
+            endpoint.in_flight = 8
+        times = []
+        for draw in (0.0, 0.5, 1.0):
+            choice = self.dispatcher.choose(demand(draw=draw), SPEC, 0.0)
+            assert isinstance(choice, Refuse)
+            times.append(choice.retry_after_s)
+        self.assertEqual(times, sorted(set(times)))
+        self.assertAlmostEqual(times[1], 0.4 * (1 + 5 / 4), delta=0.01)
+
+    def test_load_that_was_reported_once_is_not_believed_for_ever(self) -> None:
+        for endpoint in self.fleet.all():
+            for _ in range(20):
+                endpoint.observe_load(0.0, 4, 12)
+        self.assertIsInstance(self.dispatcher.choose(demand(), SPEC, 0.0), Refuse)
+        later = demand(target_s=20.8, deadline_s=22.0)
+        self.assertIsInstance(self.dispatcher.choose(later, SPEC, 20.0), Send)
+
+    def test_slow_home_loses_its_work_to_the_second_and_gets_it_back(self) -> None:
+        self._teach(0.2)
+        first = self._choose().endpoint
+        for _ in range(20):
+            first.observe_work(0.0, 1.5, 0.2)
+        self.assertIsNot(self._choose().endpoint, first)
+        later = self.dispatcher.choose(demand(target_s=60.0, deadline_s=60.0), SPEC, 40.0)
+        assert isinstance(later, Send)
+        self.assertIs(later.endpoint, first)
+
     def test_urgent_work_still_finds_room_where_less_urgent_is_refused(self) -> None:
+        self._teach(0.1)
         for endpoint in self.fleet.all():
             endpoint.in_flight = 6
-            endpoint.work_s = 0.1
         self.assertIsInstance(self.dispatcher.choose(demand(priority=2), SPEC, 0.0), Refuse)
         self.assertIsInstance(self.dispatcher.choose(demand(priority=0), SPEC, 0.0), Send)
 
     def test_work_that_would_come_late_is_refused_at_once(self) -> None:
+        self._teach(0.9)
         for endpoint in self.fleet.all():
             endpoint.in_flight = 4
-            endpoint.work_s = 0.9
         self.assertIsInstance(self.dispatcher.choose(demand(priority=0), SPEC, 0.0), Refuse)
 
     def test_draining_evacuated_and_foreign_endpoints_get_nothing(self) -> None:
