Attempts at an endpoint that has fallen silent end early; silent homes are passed over

Change: silence is counted while requests wait; an idempotent attempt gives up after three usual work times (1 s at least) if nothing was heard from the endpoint, within the retry budget.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -65,17 +65,29 @@
         self._dialect = dialect
 
     async def make(
-        self, request: IncomingRequest, body: bytes, endpoint: Endpoint, deadline_s: float
+        self,
+        request: IncomingRequest,
+        body: bytes,
+        endpoint: Endpoint,
+        deadline_s: float,
+        may_give_up: bool,
     ) -> Attempt:
-        """Returns how an attempt ended; its connection is closed when the caller leaves."""
+        """Returns how an attempt ended; its connection is closed when the caller leaves.
+
+        With `may_give_up`, an attempt at an endpoint that has fallen silent ends early.
+        """
         loop = asyncio.get_running_loop()
         record = endpoint.record
-        endpoint.in_flight += 1
+        endpoint.start_request(loop.time())
         connection: Connection | None = None
+        attempt: Attempt | None = None
+        watch: _SilenceWatch | None = None
         try:
-            async with asyncio.timeout_at(deadline_s):
+            async with asyncio.timeout_at(deadline_s) as timer:
                 connection = await self._pool.acquire(record.address, record.port)
                 started_s = loop.time()
+                if may_give_up:
+                    watch = _SilenceWatch(self._fleet, endpoint, timer)
                 attempt = await self._run(connection, request, body, endpoint, deadline_s)
             if isinstance(attempt, Answered):
                 self._fleet.observe_answer(endpoint, loop.time(), loop.time() - started_s)
@@ -86,7 +98,10 @@
                 connection.close()
             raise
         finally:
-            endpoint.in_flight -= 1
+            heard = isinstance(attempt, Answered) or (isinstance(attempt, NotRun) and attempt.sent)
+            endpoint.end_request(loop.time(), heard)
+            if watch is not None:
+                watch.cancel()
         if connection is not None and not _streams(attempt):
             self._pool.release(record.address, record.port, connection)
         return attempt
@@ -180,7 +195,34 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-def _streams(attempt: Attempt) -> bool:
+class _SilenceWatch:
+    """Ends an attempt when nothing at all is heard from its endpoint."""
+
+    def __init__(self, fleet: Fleet, endpoint: Endpoint, timer: asyncio.Timeout) -> None:
+        self._fleet = fleet
+        self._endpoint = endpoint
+        self._timer = timer
+        self._loop = asyncio.get_running_loop()
+        self._patience_s = fleet.patience_s(endpoint, self._loop.time())
+        self._started_s = self._loop.time()
+        self._handle = self._loop.call_later(self._patience_s, self._check)
+
+    def cancel(self) -> None:
+        """Ends the watch."""
+        self._handle.cancel()
+
+    def _check(self) -> None:
+        """Ends the attempt if the endpoint has been silent since it began, else looks again."""
+        now_s = self._loop.time()
+        waited_s = min(now_s - self._started_s, self._endpoint.silence_s(now_s))
+        if waited_s >= self._patience_s:
+            self._timer.reschedule(now_s)
+        else:
+            left_s = self._patience_s - waited_s
+            self._handle = self._loop.call_later(left_s, self._check)
+
+
+def _streams(attempt: Attempt | None) -> bool:
     """Returns whether the connection of an attempt still delivers its answer."""
     return isinstance(attempt, Answered) and attempt.connection is not None
 
--- a/lycheepin/gateway/path.py
+++ b/lycheepin/gateway/path.py
@@ -179,7 +179,9 @@
         loop = asyncio.get_running_loop()
         endpoint = choice.endpoint
         started_s = loop.time()
-        attempt = await self._attempts.make(request, progress.body, endpoint, progress.deadline_s)
+        attempt = await self._attempts.make(
+            request, progress.body, endpoint, progress.deadline_s, self._may_repeat(progress)
+        )
         progress.tried.add(endpoint.record.id)
         outcome = self._observe(endpoint, attempt, progress)
         self._log.write(
@@ -223,10 +225,26 @@
             case Doubtful(kind=kind):
                 progress.sent += 1
                 progress.may_have_run = True
-                self._suspect(endpoint, now_s)
+                silent = kind is ErrorKind.ENDPOINT_TIMEOUT and self._is_silent(endpoint, now_s)
+                endpoint.observe_outcome(now_s, served=False)
+                self._suspect(endpoint, now_s, at_once=silent)
                 return kind.value
         raise AssertionError(attempt)
 
+    def _is_silent(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Returns whether an endpoint has fallen silent: its other requests wait as well."""
+        return endpoint.silence_s(now_s) >= self._fleet.patience_s(endpoint, now_s)
+
+    @staticmethod
+    def _may_repeat(progress: _Progress) -> bool:
+        """Returns whether the request may still be sent to one more endpoint."""
+        route = progress.route
+        return (
+            route.kind is RequestKind.IDEMPOTENT
+            and progress.sent + 1 < route.max_attempts
+            and len(progress.body) <= WHOLE_BODY_BYTES
+        )
+
     def _suspect(self, endpoint: Endpoint, now_s: float, at_once: bool = False) -> None:
         """Counts a failure of an endpoint."""
         if endpoint.observe_failure(now_s, at_once):
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -35,6 +35,10 @@
 CROWDED_PART = 0.7
 # Time in seconds that a request loses when it is turned away and has to be sent again.
 RETURN_COST_S = 0.5
+# Silence for which an endpoint with requests of this daemon is not doubted: in seconds, and in
+# usual work times, which differ little within a service.
+MIN_SILENCE_S = 1.0
+WORKS_OF_SILENCE = 3.0
 # First exclusion of an endpoint that failed, doubled up to the last, in seconds.
 FIRST_EXCLUSION_S = 0.5
 LAST_EXCLUSION_S = 4.0
@@ -70,6 +74,7 @@
     failures: int = 0
     missing_since_s: float | None = None
     gone: bool = False
+    _heard_s: float = 0.0
     _others: float = 0.0
     _others_at_s: float = 0.0
     _extra_work_s: float = 0.0
@@ -77,6 +82,22 @@
     _turned_away: float = 0.0
     _turned_away_at_s: float = 0.0
 
+    def start_request(self, now_s: float) -> None:
+        """Counts a request that is sent there."""
+        if self.in_flight == 0:
+            self._heard_s = now_s
+        self.in_flight += 1
+
+    def end_request(self, now_s: float, heard: bool) -> None:
+        """Ends a request; `heard` tells whether the endpoint answered it."""
+        self.in_flight -= 1
+        if heard:
+            self._heard_s = now_s
+
+    def silence_s(self, now_s: float) -> float:
+        """Returns for how long nothing has been heard while requests were sent, in seconds."""
+        return now_s - self._heard_s if self.in_flight else 0.0
+
     def others(self, now_s: float) -> float:
         """Returns the estimate of the other daemons' requests that run or wait there."""
         return self._others * exp((self._others_at_s - now_s) / LOAD_MEMORY_S)
@@ -185,7 +206,14 @@
             MIN_WORK_S, self.work_s(endpoint.record.service) + endpoint.extra_work_s(now_s)
         )
         crowd = max(0.0, endpoint.load(now_s) + 1 - CROWDED_PART * slots)
-        return work_s * (1 + crowd / slots) + RETURN_COST_S * endpoint.turned_away(now_s)
+        answer_s = work_s * (1 + crowd / slots) + RETURN_COST_S * endpoint.turned_away(now_s)
+        silence_s = endpoint.silence_s(now_s)
+        return answer_s + silence_s if silence_s > self.patience_s(endpoint, now_s) else answer_s
+
+    def patience_s(self, endpoint: Endpoint, now_s: float) -> float:
+        """Returns for how long an endpoint may be silent before it is doubted, in seconds."""
+        work_s = self.work_s(endpoint.record.service) + endpoint.extra_work_s(now_s)
+        return max(MIN_SILENCE_S, WORKS_OF_SILENCE * work_s)
 
     def register(self, record: EndpointRecord, now_s: float) -> bool:
         """Takes in an entry; returns whether that changed who may be used."""
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -156,6 +156,25 @@
         self.assertEqual(status, 200)
         self.assertEqual([len(b.arrivals) for b in self.back_ends].count(1), 2)
 
+    async def test_silent_endpoint_is_given_up_for_idempotent_work_only(self) -> None:
+        async def silent_first(arrival: Arrival) -> bytes:
+            if sum(len(back_end.arrivals) for back_end in self.back_ends) == 1:
+                await asyncio.sleep(30)
+            return answer_with(arrival)
+
+        for name in "ab":
+            await self.add_back_end(name, silent_first)
+        self.store.put("op/config", configuration(2, timeoutMs=6000))
+        gateway = await self.add_gateway()
+        await self.ready(gateway)
+        for endpoint in gateway.fleet.all():
+            for _ in range(100):
+                gateway.fleet.observe_answer(endpoint, 0.0, 0.01)
+        status, _, _ = await self.ask(gateway, request())
+        self.assertEqual(status, 200)
+        self.assertEqual([len(b.arrivals) for b in self.back_ends], [1, 1])
+        self.assertEqual(sum(back_end.cut for back_end in self.back_ends), 1)
+
     async def test_rejected_protected_request_goes_to_another_endpoint(self) -> None:
         async def reject_first(arrival: Arrival) -> bytes:
             first = sum(len(back_end.arrivals) for back_end in self.back_ends) == 1
