--- a/lycheepin/steering/placement.py
+++ b/lycheepin/steering/placement.py
@@ -16,7 +16,7 @@
 __all__ = ["Placement", "score"]
 
 # How much more of an object's requests an endpoint in the caller's own region draws.
-NEAR_WEIGHT = 2.0
+NEAR_WEIGHT = 4.0
 # Objects whose order is kept; beyond it the table is emptied, at about 100 bytes an endpoint.
 MAX_CACHED = 4096
 _HASH_SPAN = float(1 << 64)
