--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -23,8 +23,9 @@
 from lycheepin.metrics import Metrics
 from lycheepin.names import DaemonName, RegionName, ZoneName
 from lycheepin.steering.dispatch import Dispatcher
-from lycheepin.steering.fleet import Fleet
+from lycheepin.steering.fleet import EndpointRecord, Fleet
 from lycheepin.steering.placement import Placement
+from lycheepin.steering.routes import RoutingTable
 from lycheepin.transport.connection import ConnectionPool
 
 __all__ = ["Gateway", "Platform", "run_gateway"]
@@ -198,10 +199,15 @@
         def take_daemons(names: tuple[DaemonName, ...]) -> None:
             self._dispatcher.daemons = names
 
-        def take_table(table: Any) -> None:
+        def take_table(table: RoutingTable) -> None:
             self._path.table = table
             self._front.limits = table.limits
 
+        def take_gone(record: EndpointRecord) -> None:
+            self._dispatcher.forget(record.id)
+            self._pool.discard(record.address, record.port)
+
+        self.fleet.on_gone = take_gone
         self.beliefs.on_daemons = take_daemons
         self.beliefs.on_table = take_table
 
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -91,6 +91,10 @@
         """Takes over other bounds of the deployment."""
         self._cold.terms = terms
 
+    def forget(self, endpoint_id: EndpointId) -> None:
+        """Drops what was counted for an endpoint that is gone."""
+        self._cold.forget(endpoint_id)
+
     def choose(self, demand: Demand, spec: ServiceSpec, now_s: float) -> Choice:
         """Returns where an attempt goes now."""
         order = self._placement.order(demand.service, demand.object_key)
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -320,6 +320,11 @@
         connection.idle_since_s = asyncio.get_running_loop().time()
         idle.append(connection)
 
+    def discard(self, address: Address, port: int) -> None:
+        """Closes the idle connections to a target that is gone."""
+        for connection in self._idle.pop((address, port), ()):
+            connection.close()
+
     def close(self) -> None:
         """Closes all idle connections."""
         for idle in self._idle.values():
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -53,7 +53,7 @@
         self.cut = 0
         self.port = 0
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self.open: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Listens on a free port."""
@@ -64,7 +64,7 @@
         """Stops listening and resets all connections."""
         if self._server is not None:
             self._server.close()
-        for writer in self._writers:
+        for writer in self.open:
             writer.transport.abort()
 
     def entry(self, zone: str, service: str = "desk", **changes: Any) -> dict[str, Any]:
@@ -84,7 +84,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Serves one connection."""
         self.connections += 1
-        self._writers.add(writer)
+        self.open.add(writer)
         try:
             while True:
                 arrival = await self._read(reader, writer)
@@ -106,7 +106,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             return  # the caller has closed the connection, or the stand-in ends
         finally:
-            self._writers.discard(writer)
+            self.open.discard(writer)
             writer.transport.abort()
 
     async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Arrival:
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -91,6 +91,15 @@
             await self.ask(gateway, request(identifier=f"r{number}", Affinity_Key=str(number)))
         self.assertEqual((len(first.arrivals), len(second.arrivals)), (0, 10))
 
+    async def test_connections_to_an_endpoint_that_is_gone_are_closed(self) -> None:
+        first = await self.add_back_end("a")
+        gateway = await self.add_gateway()
+        await self.ready(gateway)
+        await self.ask(gateway, request())
+        self.assertEqual(len(first.open), 1)
+        self.store.delete("servers/a")
+        await self.until(lambda: not first.open)
+
 
 class Daemons(DeploymentCase):
     async def test_entry_that_was_taken_away_is_written_again(self) -> None:
