--- /dev/null
+++ b/tests/transport/test_connection.py
@@ -0,0 +1,60 @@
+import asyncio
+import unittest
+
+from lycheepin.names import Address
+from lycheepin.transport.connection import BrokenAnswer, Connection, ConnectionPool
+
+HOST = Address("127.0.0.1")
+
+
+class Answers(unittest.IsolatedAsyncioTestCase):
+    """Answers of a peer that sends given bytes and then ends, or resets, the connection."""
+
+    async def _exchange(self, content: bytes, reset: bool = False) -> tuple[Connection, bytes]:
+        """Returns the connection after one request, and the body that it read."""
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(content)
+            await writer.drain()
+            if reset:
+                await asyncio.sleep(0.05)
+                writer.transport.abort()
+            else:
+                writer.write_eof()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addAsyncCleanup(server.wait_closed)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(HOST)
+        connection = await pool.acquire(HOST, port)
+        self.addCleanup(connection.close)
+        connection.start(
+            b"GET / HTTP/1.1\r\n\r\n", accept=lambda head: head.header(b"x-id") != b"old"
+        )
+        await connection.head()
+        return connection, b"".join([chunk async for chunk in connection.body()])
+
+    async def test_answer_without_length_is_whole_when_the_connection_ends(self) -> None:
+        connection, body = await self._exchange(b"HTTP/1.1 200 OK\r\n\r\nall")
+        self.assertEqual(body, b"all")
+        self.assertFalse(connection.reusable)
+
+    async def test_answer_with_length_is_cut_when_the_connection_ends_early(self) -> None:
+        with self.assertRaises(BrokenAnswer):
+            await self._exchange(b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nall")
+
+    async def test_answer_in_chunks_is_cut_without_the_last_one(self) -> None:
+        with self.assertRaises(BrokenAnswer):
+            await self._exchange(
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nall\r\n"
+            )
+
+    async def test_answer_that_is_turned_down_is_skipped_and_the_connection_not_kept(self) -> None:
+        connection, body = await self._exchange(
+            b"HTTP/1.1 200 OK\r\nX-Id: old\r\nContent-Length: 5\r\n\r\nstale"
+            b"HTTP/1.1 200 OK\r\nX-Id: new\r\nContent-Length: 4\r\n\r\nmine"
+        )
+        self.assertEqual(body, b"mine")
+        self.assertFalse(connection.reusable)
