--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -28,7 +28,7 @@
 
 # Longest time in seconds that a watch waits: the platform allows 30, but a silent connection is
 # noticed only after it, and changes have to be in force after 2.5 s.
-WATCH_WAIT_S = 2.0
+WATCH_WAIT_S = 1.0
 # Pause in seconds after changes, so that a burst of them costs one call; far below the bounds of
 # 2.5 s for configurations and drains.
 GATHER_S = 0.15
@@ -41,10 +41,11 @@
 WATCHERS = 2
 # Time in seconds that a follower's call waits; a watcher that froze is noticed after it, well
 # inside the bounds of 2.5 s.
-PEER_WAIT_S = 1.0
-# Age in seconds beyond which a watcher's news are no longer enough: a watch of the store waits
-# 2 s, and an answer without changes confirms the copy.
-FRESH_S = 2.8
+PEER_WAIT_S = 0.5
+# Age in seconds beyond which a watcher's news are no longer enough. A watch of the store waits 1 s,
+# and an answer without changes confirms the copy. Together with a follower's wait it has to stay
+# below the 2.5 s within which changes are in force.
+FRESH_S = 1.4
 # Time in seconds for which a watcher that failed is not asked.
 BARRED_S = 2.0
 # Time in seconds between two looks for entries that did not come back after an outage.
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -1,10 +1,14 @@
 import unittest
 
+from lycheepin.gateway import following
 from lycheepin.gateway import mirror as module
 from lycheepin.gateway.mirror import Mirror
 from lycheepin.gateway.relay import _decode, _encode
 from lycheepin.gateway.storage import Changes, Item, Listing, Removed
 
+# Shortest bound of the known deployments for a change to be in force, in seconds.
+CONFIGURATION_BOUND_S = 2.5
+
 
 def item(key: str, revision: int) -> Item:
     return Item(key, b"\x00\xffvalue", revision)
@@ -41,6 +45,13 @@
         self.assertEqual(mirror.age_s(7.0), 2.0)
 
 
+class Lateness(unittest.TestCase):
+    def test_follower_of_a_reader_that_lost_the_store_is_not_late(self) -> None:
+        late_s = following.FRESH_S + following.PEER_WAIT_S + following.GATHER_S
+        self.assertLess(late_s, CONFIGURATION_BOUND_S)
+        self.assertLess(following.WATCH_WAIT_S, following.FRESH_S)
+
+
 class Wire(unittest.TestCase):
     def test_news_survive_the_way_between_daemons(self) -> None:
         for news in (Changes((item("a", 3), Removed("b", 4)), 9), Listing((item("a", 3),), 9)):
