Fields that nothing reads are struck out of settings, demand and dispatcher

Cause: last reading of the change: Demand.sticky, GatewaySettings.heartbeat_s and memory_mb were never read, and Dispatcher.retry_after_s was state that never changed. No behaviour changes.

--- a/lycheepin/gateway/path.py
+++ b/lycheepin/gateway/path.py
@@ -15,7 +15,7 @@
 from lycheepin.metrics import Metrics
 from lycheepin.names import EndpointId, ServiceName
 from lycheepin.steering.budgets import BudgetTerms, RetryAllowance
-from lycheepin.steering.dispatch import Demand, Dispatcher, Refuse, Send
+from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Demand, Dispatcher, Refuse, Send
 from lycheepin.steering.fleet import Endpoint, Fleet
 from lycheepin.steering.routes import RequestKind, Route, RoutingTable
 from lycheepin.transport.connection import BrokenAnswer, Headers
@@ -188,7 +188,6 @@
             progress.service,
             key.decode("latin-1") or progress.identifier,
             route.priority,
-            bool(key),
             route.home_regions,
             request.arrival_s + route.target_s,
             progress.deadline_s,
@@ -346,7 +345,7 @@
             late = asyncio.get_running_loop().time() >= progress.deadline_s
             kind = ErrorKind.ENDPOINT_TIMEOUT if late else ErrorKind.ENDPOINT_BROKE
         elif retry_after_s is None:
-            retry_after_s = self._dispatcher.retry_after_s
+            retry_after_s = MIN_RETRY_AFTER_S
         self._count(request, progress, kind.value)
         self._refuse(request, progress.identifier, kind, retry_after_s)
 
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -49,8 +49,6 @@
     control: SocketAddress
     seeds: tuple[SocketAddress, ...]
     store: SocketAddress
-    heartbeat_s: float
-    memory_mb: int
     grace_s: float
     lookup_max_s: float
     terms: BudgetTerms
--- a/lycheepin/platform/boot.py
+++ b/lycheepin/platform/boot.py
@@ -17,7 +17,6 @@
 SETTINGS_VARIABLE = "LYCHEEPIN_BOOT"
 # Port of the metrics page; deploy/system.toml names the same one.
 METRICS_PORT = 9464
-MS_PER_S = 1000
 
 
 class SettingsError(ValueError):
@@ -78,8 +77,6 @@
             control=SocketAddress.parse(listen["control"]),
             seeds=tuple(SocketAddress.parse(seed) for seed in document.get("seeds", [])),
             store=SocketAddress.parse(document["platform"]["address"]),
-            heartbeat_s=document.get("heartbeatIntervalMs", 1500) / MS_PER_S,
-            memory_mb=int(document.get("limits", {}).get("memoryMb", 256)),
             grace_s=bounds.get("gracePeriodS", 6.0),
             lookup_max_s=bounds.get("ttl_max_s", 5.0),
             terms=BudgetTerms(
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -17,7 +17,7 @@
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.routes import ServiceSpec
 
-__all__ = ["Choice", "Demand", "Dispatcher", "Refuse", "Send"]
+__all__ = ["MIN_RETRY_AFTER_S", "Choice", "Demand", "Dispatcher", "Refuse", "Send"]
 
 # Endpoints at which one object is kept known. One alone fails with its endpoint; a third halves
 # how often each of them sees the object.
@@ -47,7 +47,6 @@
     service: ServiceName
     object_key: str
     priority: int
-    sticky: bool
     homes: frozenset[RegionName]
     target_s: float
     deadline_s: float
@@ -85,7 +84,6 @@
         self._cold = ColdGate(terms)
         self._own = own
         self.daemons: Sequence[DaemonName] = ()
-        self.retry_after_s = MIN_RETRY_AFTER_S
 
     def apply_terms(self, terms: BudgetTerms) -> None:
         """Takes over other bounds of the deployment."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -103,8 +103,6 @@
             control=_free_address(),
             seeds=(),
             store=self.store_address,
-            heartbeat_s=1.5,
-            memory_mb=300,
             grace_s=4.0,
             lookup_max_s=5.0,
             terms=BudgetTerms(retry_ratio=0.2, retry_slack=60.0, cold_over=1.5, cold_slack=5.0),
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -158,8 +158,6 @@
             "control": free_address(),
             "seeds": (),
             "store": self.store_address,
-            "heartbeat_s": 1.5,
-            "memory_mb": 300,
             "grace_s": 6.0,
             "lookup_max_s": 5.0,
             "terms": BudgetTerms(retry_ratio=0.2, retry_slack=60.0),
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -61,7 +61,6 @@
         "service": SERVICE,
         "object_key": key,
         "priority": priority,
-        "sticky": True,
         "homes": frozenset(),
         "target_s": 0.8,
         "deadline_s": 2.0,
