Tests, soak and stand-ins share one copy of messages of the platform

Cause: last reading of the change: configuration, free address, request and answer parsing stood in tests/gateway, soak and standins. They are one module now, standins/messages.py; no check changes.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 from soak.faults import FAULTS
 from soak.ledger import Ledger, Violation
 from soak.world import World
+from standins.messages import read_answer, request
 
 __all__ = ["main"]
 
@@ -31,24 +32,24 @@
     protected = world.random.random() < 0.5
     identifier = f"r{number:06}"
     path, method = ("/order/1", "POST") if protected else ("/read/1", "GET")
-    length = "Content-Length: 4\r\n" if protected else ""
+    content = request(
+        path,
+        method,
+        identifier,
+        b"body" if protected else b"",
+        Affinity_Key=str(number % 23),
+        Deadline_Ms="3000",
+    )
     world.ledger.ask(identifier, protected)
     try:
         async with asyncio.timeout(PATIENCE_S):
             reader, writer = await asyncio.open_connection(front.host, front.port)
-            writer.write(
-                f"{method} {path} HTTP/1.1\r\nHost: a.example\r\nRequest-Id: {identifier}\r\n"
-                f"Affinity-Key: {number % 23}\r\nDeadline-Ms: 3000\r\n{length}\r\n".encode()
-                + (b"body" if protected else b"")
-            )
-            head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-            headers = {n.lower(): v for n, v in (line.split(": ", 1) for line in head[1:] if line)}
-            body = await reader.readexactly(int(headers["content-length"]))
+            writer.write(content)
+            status, headers, body = await read_answer(reader)
     except (OSError, TimeoutError, asyncio.IncompleteReadError):
         return  # a closed connection promises nothing
     writer.close()
     whole = body == identifier.encode() * 200
-    status = int(head[0].split(" ")[1])
     world.ledger.answer(identifier, status, headers.get("request-id", ""), whole)
 
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -4,24 +4,26 @@
 
 import asyncio
 import random
-import socket
 from typing import Any
 
 from lycheepin.gateway.process import Gateway
 from lycheepin.gateway.settings import GatewaySettings, SocketAddress
-from lycheepin.names import Address, DaemonName, RegionName, ZoneName
+from lycheepin.names import DaemonName, RegionName, ZoneName
 from lycheepin.platform.gateway import KvPlatform
 from lycheepin.steering.budgets import BudgetTerms
 from soak.ledger import Ledger
+from standins.messages import HOST, configuration, free_address
 from standins.metadata import MetadataStandIn
 from standins.servers import Arrival, BackEndStandIn, answer_with
 
-__all__ = ["HOST", "World"]
+__all__ = ["World"]
 
-HOST = Address("127.0.0.1")
 ZONES = {ZoneName(f"z{number}"): RegionName(f"r{number // 2}") for number in range(4)}
 DAEMONS = 4
 ENDPOINTS = 8
+# Answer target in milliseconds, and time in seconds for which a new endpoint is cold.
+TARGET_MS = 500
+COLD_S = 1.0
 # Work time of a request in seconds, and how it varies.
 WORK_S = 0.02
 WORK_SPREAD_S = 0.02
@@ -34,7 +36,7 @@
         self.random = random.Random(seed)
         self.ledger = ledger
         self.store = MetadataStandIn()
-        self.store_address = _free_address()
+        self.store_address = free_address()
         self.endpoints: dict[str, BackEndStandIn] = {}
         self.mood: dict[str, str] = {}
         self.gateways: dict[str, Gateway] = {}
@@ -51,7 +53,7 @@
             await self.add_endpoint()
         for number in range(DAEMONS):
             name = f"daemon-{number}"
-            self.fronts[name] = _free_address()
+            self.fronts[name] = free_address()
             self.start_gateway(name)
 
     async def close(self) -> None:
@@ -68,7 +70,9 @@
     def configure(self) -> None:
         """Writes the next version of the configuration."""
         self.version += self.random.randint(1, 3)
-        self.store.put("op/config", _configuration(self.version))
+        document = configuration(self.version, targetLatencyMs=TARGET_MS)
+        document["services"]["desk"]["coldStartS"] = COLD_S
+        self.store.put("op/config", document)
 
     async def add_endpoint(self) -> str:
         """Starts and registers an endpoint; returns its id."""
@@ -97,10 +101,10 @@
             region=ZONES[zone],
             zones=ZONES,
             front=self.fronts[name],
-            ready=_free_address(),
-            directory=_free_address(),
-            metrics=_free_address(),
-            control=_free_address(),
+            ready=free_address(),
+            directory=free_address(),
+            metrics=free_address(),
+            control=free_address(),
             seeds=(),
             store=self.store_address,
             grace_s=4.0,
@@ -137,50 +141,3 @@
             case "spoils":
                 return b"\x00\x01 not an answer\r\n\r\n"
         return answer
-
-
-def _free_address() -> SocketAddress:
-    """Returns an address on which nothing listens."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return SocketAddress(HOST, probe.getsockname()[1])
-
-
-def _configuration(version: int) -> dict[str, Any]:
-    """Returns a configuration with an idempotent and a protected route."""
-
-    def route(prefix: str, kind: str) -> dict[str, Any]:
-        return {
-            "host": "a.example",
-            "prefix": prefix,
-            "kind": kind,
-            "timeoutMs": 1500,
-            "targetLatencyMs": 500,
-            "priority": 1,
-            "service": "desk",
-            "maxAttempts": 2,
-            "sessionAffinity": True,
-            "homeRegions": [],
-        }
-
-    return {
-        "version": f"{version:08x}",
-        "routes": {
-            "read": route("/read/", "idempotent"),
-            "order": route("/order/", "non_idempotent"),
-        },
-        "services": {
-            "desk": {
-                "healthPath": "/health",
-                "maxConnections": 100,
-                "coldStartS": 1.0,
-                "coldPerS": 5.0,
-            }
-        },
-        "limits": {
-            "maxHeaderBytes": 4096,
-            "maxBodyBytes": 1 << 20,
-            "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-    }
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -7,6 +7,8 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from standins.messages import read_message
+
 __all__ = ["Arrival", "BackEndStandIn", "answer_ok", "answer_with"]
 
 
@@ -111,15 +113,6 @@
 
     async def _read(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> Arrival:
         """Returns the next request."""
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        method, target, _ = head[0].split(" ")
-        pairs = (line.split(": ", 1) for line in head[1:] if line)
-        headers = {name.lower(): value for name, value in pairs}
-        body = b""
-        if "content-length" in headers:
-            body = await reader.readexactly(int(headers["content-length"]))
-        elif headers.get("transfer-encoding") == "chunked":
-            while size := int(await reader.readuntil(b"\r\n"), 16):
-                body += (await reader.readexactly(size + 2))[:-2]
-            await reader.readexactly(2)
+        first, headers, body = await read_message(reader)
+        method, target, _ = first.split(" ")
         return Arrival(method, target, headers, body, len(self.arrivals), writer)
