News of the store: widest links read it, followers get newest values compressed

The readers of the region, picked by name, had links of 10 Mbit/s; each sent every version whole to 13 followers (4 MB a version). Followers timed out at one reader, then the other, then at the store, whose answer of several versions had to arrive within 1 s; knowledge was over 3 s old.

Change: readers by width of link, which entries now tell; followers get the newest value of each changed key, compressed and encoded once; a new listing is passed on as what differs; the way of an answer counts as its age; calls time out by silence, so a long answer may take its time; a daemon registers only after its first listing.

--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -19,7 +19,8 @@
 class DaemonRecord:
     """One daemon as it registered itself.
 
-    Callers connect to `front`, other daemons to `control`.
+    Callers connect to `front`, other daemons to `control`. `link_mbps` is what its VM's link
+    carries, in Mbit/s; 0 when that is not known.
     """
 
     name: DaemonName
@@ -28,6 +29,7 @@
     region: RegionName
     front: SocketAddress
     control: SocketAddress
+    link_mbps: float = 0.0
 
 
 class Directory:
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from hashlib import blake2b
 from typing import Protocol
 
@@ -24,7 +25,7 @@
 from lycheepin.names import DaemonName
 from lycheepin.transport.calls import Caller
 
-__all__ = ["EntryReader", "Follower", "Registration"]
+__all__ = ["EntryReader", "Follower", "Registration", "choose_watchers"]
 
 # Longest time in seconds that a watch waits: the platform allows 30, but a silent connection is
 # noticed only after it, and changes have to be in force after 2.5 s.
@@ -77,9 +78,19 @@
     settings: GatewaySettings
 
 
-def _watch_rank(name: DaemonName) -> bytes:
-    """Returns the place of a daemon in the order of watchers; the same at all daemons."""
-    return blake2b(name.encode(), digest_size=8).digest()
+def choose_watchers(daemons: Iterable[DaemonRecord]) -> list[DaemonRecord]:
+    """Returns the daemons of a region that read the store; the same answer at all of them.
+
+    The widest links come first: a watcher passes each change on to the others of its region.
+    """
+    ranked = sorted(
+        daemons,
+        key=lambda record: (
+            -record.link_mbps,
+            blake2b(record.name.encode(), digest_size=8).digest(),
+        ),
+    )
+    return ranked[:WATCHERS]
 
 
 class Follower:
@@ -132,8 +143,7 @@
             for record in self._beliefs.directory.others(own.name)
             if record.region == own.region
         ]
-        ranked = sorted([*region, own], key=lambda record: _watch_rank(record.name))
-        watchers = ranked[:WATCHERS]
+        watchers = choose_watchers([*region, own])
         now_s = asyncio.get_running_loop().time()
         if own in watchers:
             return None
@@ -212,9 +222,9 @@
             self._reader.take(item)
 
     def _apply(self, changes: Changes) -> None:
-        """Takes in changes."""
+        """Takes in changes; of a key that changed several times, the last one."""
         self._mirror.apply(changes)
-        for event in changes.events:
+        for event in {event.key: event for event in changes.events}.values():
             if isinstance(event, Item):
                 self._reader.take(event)
             else:
@@ -224,8 +234,11 @@
 class Registration:
     """Keeps this daemon's own entry in the store under a lease."""
 
-    def __init__(self, store: Store, key: str, value: bytes, name: DaemonName) -> None:
+    def __init__(
+        self, store: Store, mirror: Mirror, key: str, value: bytes, name: DaemonName
+    ) -> None:
         self._store = store
+        self._mirror = mirror
         self._key = key
         self._value = value
         self._name = name
@@ -233,7 +246,11 @@
         self._lost = asyncio.Event()
 
     async def keep(self) -> None:
-        """Registers and renews for ever; registers anew when the entry was taken away."""
+        """Registers and renews for ever; registers anew when the entry was taken away.
+
+        Waits for the first listing: callers should not be sent to a daemon that knows nothing yet.
+        """
+        await self._mirror.filled.wait()
         while True:
             if self._lease is None:
                 await self._register()
--- a/lycheepin/gateway/mirror.py
+++ b/lycheepin/gateway/mirror.py
@@ -18,13 +18,18 @@
 
 
 class Mirror:
-    """Keys of the store up to a revision, with the latest changes."""
+    """Keys of the store up to a revision, and which of them changed last.
+
+    Followers get the current state of the keys that have changed, so a key that changes often
+    costs them one value however far behind they are.
+    """
 
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
-        self._log: deque[Item | Removed] = deque(maxlen=KEPT_CHANGES)
-        self._log_after = 0
+        self._changes: deque[tuple[int, str]] = deque()
+        self._changes_after = 0
         self._changed = asyncio.Event()
+        self.filled = asyncio.Event()
         self.revision: int | None = None
         self._fresh_at_s: float | None = None
 
@@ -38,10 +43,17 @@
         return now_s - self._fresh_at_s if self._fresh_at_s is not None else float("inf")
 
     def replace(self, listing: Listing) -> None:
-        """Takes in a complete listing."""
-        self._items = {item.key: item for item in listing.items}
-        self._log.clear()
-        self._log_after = self.revision = listing.as_of
+        """Takes in a complete listing; what differs from the copy counts as changed."""
+        items = {item.key: item for item in listing.items}
+        if self.revision is None:
+            self._changes_after = listing.as_of
+        else:
+            differing = {key for key in items if items[key] != self._items.get(key)}
+            for key in sorted(differing | (self._items.keys() - items.keys())):
+                self._note_change(listing.as_of, key)
+        self._items = items
+        self.revision = listing.as_of
+        self.filled.set()
         self._wake()
 
     def apply(self, changes: Changes) -> None:
@@ -51,9 +63,7 @@
                 self._items[event.key] = event
             else:
                 self._items.pop(event.key, None)
-            if len(self._log) == KEPT_CHANGES:
-                self._log_after = self._log[0].revision
-            self._log.append(event)
+            self._note_change(event.revision, event.key)
         self.revision = changes.as_of
         if changes.events:
             self._wake()
@@ -62,9 +72,17 @@
         """Returns what a follower at a revision lacks; None before anything is known."""
         if self.revision is None:
             return None
-        if after < self._log_after:
+        if after < self._changes_after:
             return Listing(tuple(self._items.values()), self.revision)
-        events = tuple(event for event in self._log if event.revision > after)
+        changed: dict[str, int] = {}
+        for revision, key in reversed(self._changes):
+            if revision <= after:
+                break
+            changed.setdefault(key, revision)
+        events = tuple(
+            self._items.get(key) or Removed(key, revision)
+            for key, revision in reversed(changed.items())
+        )
         return Changes(events, max(after, self.revision))
 
     async def wait(self, after: int, wait_s: float) -> None:
@@ -79,7 +97,15 @@
 
     def _has_after(self, after: int) -> bool:
         """Returns whether a change later than a revision is known."""
-        return after < self._log_after or bool(self._log and self._log[-1].revision > after)
+        return after < self._changes_after or bool(self._changes and self._changes[-1][0] > after)
+
+    def _note_change(self, revision: int, key: str) -> None:
+        """Adds a change; revisions stay in order although listings overlap with later changes."""
+        if self._changes:
+            revision = max(revision, self._changes[-1][0])
+        if len(self._changes) == KEPT_CHANGES:
+            self._changes_after, _ = self._changes.popleft()
+        self._changes.append((revision, key))
 
     def _wake(self) -> None:
         """Wakes all followers that wait."""
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -18,7 +18,7 @@
 from lycheepin.gateway.ingress import IncomingRequest, Ingress
 from lycheepin.gateway.mirror import Mirror
 from lycheepin.gateway.path import RequestPath
-from lycheepin.gateway.relay import RELAY_PATH, answer_follower
+from lycheepin.gateway.relay import RELAY_PATH, Relay
 from lycheepin.gateway.settings import GatewaySettings
 from lycheepin.metrics import Metrics
 from lycheepin.names import DaemonName, RegionName, ZoneName
@@ -74,6 +74,7 @@
         self.directory = Directory()
         self.beliefs = Beliefs(self.fleet, self.directory, self.log)
         self.mirror = Mirror()
+        self._relay = Relay(self.mirror)
         self.stopping = False
         placement = Placement(self.fleet, settings.region)
         self._dispatcher = Dispatcher(self.fleet, placement, settings.terms, settings.name)
@@ -99,6 +100,7 @@
             settings.region,
             settings.front,
             settings.control,
+            settings.link_mbps,
         )
         self._connect_beliefs()
 
@@ -184,7 +186,7 @@
         """Answers a call of the platform, of an operator, or of another daemon."""
         await request.read_up_to(MAX_CALL_BYTES)
         if request.path == RELAY_PATH:
-            await answer_follower(request, self.mirror, self.settings.store)
+            await self._relay.answer(request, self.settings.store)
         else:
             self._platform.answer_call(self, request)
 
--- a/lycheepin/platform/boot.py
+++ b/lycheepin/platform/boot.py
@@ -86,6 +86,7 @@
                 cold_over=bounds.get("coldOver", 1.0),
                 cold_slack=bounds.get("coldSlack", 0.0),
             ),
+            link_mbps=float(document.get("limits", {}).get("linkMbps", 0.0)),
         )
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
         raise SettingsError(f"settings: {error!r}") from error
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -239,6 +239,7 @@
         RegionName(document["region"]),
         SocketAddress.parse(document["front"]),
         SocketAddress.parse(document["control"]),
+        float(document.get("link_mbps", 0.0)),
     )
 
 
@@ -251,5 +252,6 @@
             "region": record.region,
             "front": str(record.front),
             "control": str(record.control),
+            "link_mbps": record.link_mbps,
         }
     ).encode()
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -52,7 +52,8 @@
         follower = Follower(store, reader, caller, gateway.mirror, gateway)
         record = gateway.record
         key = DAEMON_PREFIX + record.name
-        self._registration = Registration(store, key, encode_daemon(record), record.name)
+        entry = encode_daemon(record)
+        self._registration = Registration(store, gateway.mirror, key, entry, record.name)
         gateway.beliefs.on_daemon_removed = self._registration.observe_removal
         watch = self._watch_settings(gateway)
         return [follower.follow(), follower.settle(), self._registration.keep(), watch]
--- a/lycheepin/transport/calls.py
+++ b/lycheepin/transport/calls.py
@@ -11,6 +11,8 @@
 __all__ = ["Called", "CallFailed", "Caller"]
 
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Longest time in seconds that the body of an answer may take: 5 MB over a link of 5 Mbit/s.
+LONGEST_BODY_S = 8.0
 
 
 @dataclass(frozen=True)
@@ -50,18 +52,22 @@
         headers: tuple[tuple[str, str], ...] = (),
         timeout_s: float = 2.0,
     ) -> Called | CallFailed:
-        """Returns the answer, or why there is none."""
+        """Returns the answer, or why there is none.
+
+        `timeout_s` bounds the time to the head of the answer, and then each silence in its body:
+        a long answer over a narrow link takes its time.
+        """
         lines = [f"{method} {target} HTTP/1.1", f"Host: {address}:{port}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines.append(f"Content-Length: {len(body)}")
         head = "\r\n".join(lines).encode() + b"\r\n\r\n"
         connection: Connection | None = None
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s) as timer:
                 connection = await self._pool.acquire(address, port)
                 connection.start(head + body)
                 answer = await connection.head()
-                content = await _read_all(connection)
+                content = await _read_all(connection, timer, timeout_s)
         except (BrokenAnswer, OSError, TimeoutError) as error:
             if connection is not None:
                 connection.close()
@@ -78,8 +84,13 @@
         self._pool.close()
 
 
-async def _read_all(connection: Connection) -> bytes:
-    """Returns a whole body; raises BrokenAnswer when it is cut short or too large."""
+async def _read_all(connection: Connection, timer: asyncio.Timeout, silence_s: float) -> bytes:
+    """Returns a whole body; raises BrokenAnswer when it is cut short or too large.
+
+    Each part of the body moves the timer on to `silence_s` from then, within LONGEST_BODY_S.
+    """
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + LONGEST_BODY_S
     parts: list[bytes] = []
     size = 0
     async for chunk in connection.body():
@@ -87,4 +98,5 @@
         if size > MAX_ANSWER_BYTES:
             raise BrokenAnswer(f"answer over {MAX_ANSWER_BYTES} bytes")
         parts.append(chunk)
+        timer.reschedule(min(end_s, loop.time() + silence_s))
     return b"".join(parts)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -107,12 +107,20 @@
     4: bool removed,
 }
 
+// Keys of the platform's store that have changed, or all of them.
+struct StoreNews {
+    1: list<StoreEntry> entries,
+}
+
 // What a daemon knows of the store: all keys, or the changes after the revision that was asked.
-// `store` names the deployment; `age_ms` is the time since the sender's news came from the store.
+// `store` names the deployment; `age_ms` is the time since the sender's news came from the store,
+// `waited_ms` the time that it waited for news to tell. `news` is a StoreNews, compressed by zlib;
+// empty without a change.
 struct RelayAnswer {
     1: string store,
     2: i64 as_of,
     3: i32 age_ms,
     4: bool complete,
-    5: list<StoreEntry> entries,
+    6: i32 waited_ms,
+    7: binary news,
 }
--- a/standins/messages.py
+++ b/standins/messages.py
@@ -21,8 +21,8 @@
         return SocketAddress(HOST, probe.getsockname()[1])
 
 
-def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
-    """Returns a configuration with an idempotent and a protected route."""
+def configuration(version: int = 1, routes: int = 2, **changes: Any) -> dict[str, Any]:
+    """Returns a configuration with an idempotent and a protected route, and more of the first."""
 
     def route(prefix: str, kind: str) -> dict[str, Any]:
         return {
@@ -51,7 +51,8 @@
         "routes": {
             "read": route("/read/", "idempotent"),
             "order": route("/order/", "non_idempotent"),
-        },
+        }
+        | {f"more-{n}": route(f"/more-{n}/", "idempotent") for n in range(routes - 2)},
         "services": {"desk": service},
         "limits": {
             "maxHeaderBytes": 4096,
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -130,6 +130,15 @@
         watches = [call for call in self.store.calls if "kv-watch" in call]
         self.assertLessEqual(len(watches), 2 * 2)
 
+    async def test_daemon_that_knows_nothing_yet_is_not_named_to_callers(self) -> None:
+        self.store.respond_with = lambda target: 503 if "kv-range" in target else None
+        gateway = await self.add_gateway()
+        await self.until(lambda: gateway.log.counts.get("start"))
+        await self.until(lambda: sum("kv-range" in call for call in self.store.calls) >= 2)
+        self.assertNotIn("lycheepin/daemons/daemon-1", self.store.items)
+        self.store.respond_with = lambda target: None
+        await self.until(lambda: "lycheepin/daemons/daemon-1" in self.store.items)
+
     async def test_daemon_that_starts_while_the_store_is_away_learns_from_a_seed(self) -> None:
         await self.add_back_end("a")
         control = free_address()
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -1,15 +1,28 @@
+import json
 import unittest
+from typing import Any
 
 from lycheepin.gateway import following
 from lycheepin.gateway import mirror as module
+from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.mirror import Mirror
-from lycheepin.gateway.relay import _decode, _encode
+from lycheepin.gateway.relay import decode_news, encode_news
+from lycheepin.gateway.settings import SocketAddress
 from lycheepin.gateway.storage import Changes, Item, Listing, Removed
+from lycheepin.generated.messages import RelayAnswer
+from lycheepin.names import Address, DaemonName, RegionName, ZoneName
+from standins.messages import configuration
 
 # Shortest bound of the known deployments for a change to be in force, in seconds.
 CONFIGURATION_BOUND_S = 2.5
 
 
+def daemon(name: str, **values: Any) -> DaemonRecord:
+    address = SocketAddress(Address("10.0.0.1"), 80)
+    zone, region = ZoneName("z"), RegionName("r")
+    return DaemonRecord(DaemonName(name), 1, zone, region, address, address, **values)
+
+
 def item(key: str, revision: int) -> Item:
     return Item(key, b"\x00\xffvalue", revision)
 
@@ -37,6 +50,30 @@
         self.assertIsInstance(mirror.read(1), Listing)
         self.assertIsInstance(mirror.read(module.KEPT_CHANGES), Changes)
 
+    async def test_key_that_changed_often_is_told_once(self) -> None:
+        mirror = Mirror()
+        mirror.replace(Listing((), 1))
+        for revision in range(2, 40):
+            mirror.apply(Changes((item("configuration", revision),), revision))
+        mirror.apply(Changes((item("b", 41),), 41))
+        news = Changes((item("configuration", 39), item("b", 41)), 41)
+        self.assertEqual(mirror.read(1), news)
+
+    async def test_new_listing_costs_followers_only_what_differs(self) -> None:
+        mirror = Mirror()
+        mirror.replace(Listing((item("a", 3), item("b", 4), item("c", 5)), 5))
+        mirror.replace(Listing((item("a", 3), item("b", 7), item("d", 8)), 9))
+        news = Changes((item("b", 7), Removed("c", 9), item("d", 8)), 9)
+        self.assertEqual(mirror.read(5), news)
+        self.assertIsInstance(mirror.read(4), Listing)
+
+    async def test_change_that_a_listing_already_held_is_told_after_it(self) -> None:
+        mirror = Mirror()
+        mirror.replace(Listing((item("a", 3),), 5))
+        mirror.replace(Listing((item("a", 12),), 10))
+        mirror.apply(Changes((item("a", 12), item("b", 9)), 12))
+        self.assertEqual(mirror.read(10), Changes((item("a", 12), item("b", 9)), 12))
+
     async def test_age_counts_from_the_last_word_of_the_store(self) -> None:
         mirror = Mirror()
         self.assertEqual(mirror.age_s(5.0), float("inf"))
@@ -45,6 +82,15 @@
         self.assertEqual(mirror.age_s(7.0), 2.0)
 
 
+class Watchers(unittest.TestCase):
+    def test_daemons_with_the_widest_links_read_the_store(self) -> None:
+        links = {"a": 10.0, "b": 200.0, "c": 10.0, "d": 200.0, "e": 0.0}
+        records = [daemon(name, link_mbps=link) for name, link in links.items()]
+        chosen = [record.name for record in following.choose_watchers(records)]
+        self.assertEqual(sorted(chosen), ["b", "d"])
+        self.assertEqual(chosen, [r.name for r in following.choose_watchers(records[::-1])])
+
+
 class Lateness(unittest.TestCase):
     def test_follower_of_a_reader_that_lost_the_store_is_not_late(self) -> None:
         late_s = following.FRESH_S + following.PEER_WAIT_S + following.GATHER_S
@@ -52,12 +98,25 @@
         self.assertLess(following.WATCH_WAIT_S, following.FRESH_S)
 
 
+def answer(news: Listing | Changes, store: str) -> RelayAnswer:
+    complete = isinstance(news, Listing)
+    return RelayAnswer(store, news.as_of, 1500, complete, 0, encode_news(news))
+
+
 class Wire(unittest.TestCase):
     def test_news_survive_the_way_between_daemons(self) -> None:
-        for news in (Changes((item("a", 3), Removed("b", 4)), 9), Listing((item("a", 3),), 9)):
-            relayed = _decode(_encode(news, "s:1", 1500), "s:1")
-            self.assertEqual((relayed.news, relayed.age_s), (news, 1.5))
+        for news in (
+            Changes((item("a", 3), Removed("b", 4)), 9),
+            Listing((item("a", 3),), 9),
+            Changes((), 9),
+        ):
+            self.assertEqual(decode_news(answer(news, "s:1"), "s:1"), news)
 
     def test_another_deployment_is_refused(self) -> None:
         with self.assertRaises(ValueError):
-            _decode(_encode(Changes((), 1), "s:1", 0), "s:2")
+            decode_news(answer(Changes((), 1), "s:1"), "s:2")
+
+    def test_large_configuration_takes_a_fifth_of_its_size(self) -> None:
+        table = configuration(7, routes=1300)
+        value = json.dumps(table).encode()
+        self.assertLess(len(encode_news(Changes((Item("c", value, 2),), 2))), len(value) / 5)
