--- a/standins/lab.py
+++ b/standins/lab.py
@@ -148,7 +148,7 @@
         return _call(f"http://127.9.1.{index}:9000/control/{name}", value)
 
     def platform_call(self, name: str, value: Any) -> Any:
-        """Makes a control call to the platform and returns its call counts."""
+        """Makes a control call to the platform and returns its answer, mostly call counts."""
         return _call(f"http://{PLATFORM_ADDRESS}:{PLATFORM_PORT}/control/{name}", value)
 
     def status(self, entry: dict[str, Any]) -> dict[str, Any] | None:
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -34,6 +34,7 @@
     def __init__(self) -> None:
         self._values: dict[str, tuple[bytes, int]] = {}
         self._revision = 0
+        self.written_at_s: dict[str, float] = {}
         self.changed = asyncio.Condition()
 
     def get(self, key: str) -> tuple[bytes, int] | None:
@@ -47,6 +48,7 @@
             return None
         self._revision += 1
         self._values[key] = (content, self._revision)
+        self.written_at_s[key] = time.monotonic()
         return self._revision
 
     def restore(self, key: str, content: bytes) -> None:
@@ -153,7 +155,7 @@
         await reply(send, 200, json.dumps(content).encode())
 
     async def _control(self, path: str, body: bytes, send: Any) -> None:
-        """Answers the experiment tool: faults, VM changes, call counts."""
+        """Answers the experiment tool: faults, VM changes, call counts, times of writes."""
         if path == "/control/faults":
             value = json.loads(body)
             if "down_s" in value:
@@ -165,6 +167,9 @@
         elif path == "/control/restore":
             value = json.loads(body)
             self.values.restore(value["key"], value["content"].encode())
+        elif path == "/control/writes":
+            await reply(send, 200, json.dumps(self.values.written_at_s).encode())
+            return
         await reply(send, 200, json.dumps(dict(self.calls)).encode())
 
     def _change_vms(self, change: dict[str, Any]) -> None:
