--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -9,10 +9,11 @@
 from lycheepin.gateway.dialect import Dialect
 from lycheepin.gateway.ingress import IncomingRequest
 from lycheepin.steering.fleet import Endpoint, Fleet
+from lycheepin.steering.progress import Doubtful, NotRun
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import end_to_end
 
-__all__ = ["Answered", "Attempt", "Attempts", "Doubtful", "NotRun"]
+__all__ = ["Answered", "Attempt", "Attempts"]
 
 # Bytes of an answer that are held back until it is known to be whole.
 HELD_ANSWER_BYTES = 1024 * 1024
@@ -34,25 +35,6 @@
     connection: Connection | None = None
 
 
-@dataclass(frozen=True)
-class NotRun:
-    """The request certainly did not run there; `sent` tells whether it arrived.
-
-    `full` tells that the endpoint had no free slot, as far as it said.
-    """
-
-    kind: ErrorKind
-    sent: bool
-    full: bool = False
-
-
-@dataclass(frozen=True)
-class Doubtful:
-    """The request may have run."""
-
-    kind: ErrorKind
-
-
 Attempt = Answered | NotRun | Doubtful
 
 
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -215,6 +215,10 @@
         work_s = self.work_s(endpoint.record.service) + endpoint.extra_work_s(now_s)
         return max(MIN_SILENCE_S, WORKS_OF_SILENCE * work_s)
 
+    def is_silent(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Returns whether an endpoint has fallen silent: its other requests wait as well."""
+        return endpoint.silence_s(now_s) >= self.patience_s(endpoint, now_s)
+
     def register(self, record: EndpointRecord, now_s: float) -> bool:
         """Takes in an entry; returns whether that changed who may be used."""
         known = self._endpoints.get(record.id)
--- a/lycheepin/steering/routes.py
+++ b/lycheepin/steering/routes.py
@@ -8,7 +8,15 @@
 
 from lycheepin.names import RegionName, ServiceName
 
-__all__ = ["CallerLimits", "RequestKind", "Route", "RoutingTable", "ServiceShare", "ServiceSpec"]
+__all__ = [
+    "CallerLimits",
+    "RequestKind",
+    "Route",
+    "RoutingTable",
+    "ServiceShare",
+    "ServiceSpec",
+    "Shares",
+]
 
 
 class RequestKind(Enum):
@@ -97,3 +105,29 @@
             if path.startswith(route.prefix):
                 return route
         return None
+
+
+class Shares:
+    """Splits a route's requests over its services in the proportions of their weights.
+
+    Smooth weighted round robin: each service's credit grows by its weight, the highest is used
+    and pays the sum. The parts are exact after every full round.
+    """
+
+    def __init__(self) -> None:
+        self._credits: dict[tuple[str, int], dict[ServiceName, float]] = {}
+
+    def pick(self, route: Route, version: int) -> ServiceName:
+        """Returns the service of the next request."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        key = (route.name, version)
+        credits = self._credits.get(key)
+        if credits is None:
+            self._credits = {k: v for k, v in self._credits.items() if k[1] == version}
+            credits = self._credits[key] = {share.service: 0.0 for share in route.shares}
+        for share in route.shares:
+            credits[share.service] += share.weight
+        chosen = max(credits, key=lambda service: credits[service])
+        credits[chosen] -= sum(share.weight for share in route.shares)
+        return chosen
--- a/tests/steering/test_routes.py
+++ b/tests/steering/test_routes.py
@@ -1,6 +1,5 @@
 import unittest
 
-from lycheepin.gateway.path import Shares
 from lycheepin.names import ServiceName
 from lycheepin.steering.routes import (
     CallerLimits,
@@ -8,6 +7,7 @@
     Route,
     RoutingTable,
     ServiceShare,
+    Shares,
 )
 
 
