Callers are sent to daemons with wide links while these can carry the load

Cause: on the grown sites eight of ten daemons of a zone have links of 10 Mbit/s; an upload of 360 KB holds all other requests of such a link up for 0.3 s, and each daemon's own share of the answers is so small that its estimates of endpoints are late. Change: the directory names those of a place whose link has a quarter of the widest or more, if they are two or more and hold a third of the place's processors; else all, as before. Entries tell link and processors. Tests for each of the four cases. A soak takes a network of its own even if two begin at once.

--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -13,6 +13,11 @@
 MIN_NAMED = 2
 # Daemons named to a caller at the most: callers read no more.
 MAX_NAMED = 64
+# Part of the widest link of a place below which a daemon is not named while others can carry the
+# load: one large upload holds all other requests of a narrow link up.
+NARROW_PART = 0.25
+# Part of a place's processors that those others have to have.
+ABLE_PROCESSORS = 1 / 3
 
 
 @dataclass(frozen=True)
@@ -20,7 +25,7 @@
     """One daemon as it registered itself.
 
     Callers connect to `front`, other daemons to `control`. `link_mbps` is what its VM's link
-    carries, in Mbit/s; 0 when that is not known.
+    carries, in Mbit/s, and `processors` the cores that it may use; 0 when that is not known.
     """
 
     name: DaemonName
@@ -30,6 +35,7 @@
     front: SocketAddress
     control: SocketAddress
     link_mbps: float = 0.0
+    processors: float = 0.0
 
 
 class Directory:
@@ -67,7 +73,15 @@
         """Returns where a caller connects: in its zone, else in its region, else anywhere."""
         daemons = sorted(self._daemons.values(), key=lambda record: record.name)
         in_zone = [record for record in daemons if record.zone == zone]
-        if len(in_zone) >= MIN_NAMED:
-            return [record.front for record in in_zone[:MAX_NAMED]]
         in_region = [record for record in daemons if record.region == region]
-        return [record.front for record in (in_region or in_zone or daemons)[:MAX_NAMED]]
+        found = in_zone if len(in_zone) >= MIN_NAMED else in_region or in_zone or daemons
+        return [record.front for record in _choose_able(found)[:MAX_NAMED]]
+
+
+def _choose_able(daemons: list[DaemonRecord]) -> list[DaemonRecord]:
+    """Returns the daemons with wide links if they can carry the load of all, else all."""
+    widest = max((record.link_mbps for record in daemons), default=0.0)
+    able = [record for record in daemons if record.link_mbps >= NARROW_PART * widest]
+    processors = sum(record.processors for record in able)
+    enough = processors >= ABLE_PROCESSORS * sum(record.processors for record in daemons)
+    return able if len(able) >= MIN_NAMED and enough else daemons
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -101,6 +101,7 @@
             settings.front,
             settings.control,
             settings.link_mbps,
+            settings.processors,
         )
         self._connect_beliefs()
 
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -35,7 +35,7 @@
     `front` is for callers' requests, `ready` for the platform's checks, `directory` for callers'
     look-ups, `control` for other daemons, `metrics` for operators. `seeds` are the control
     addresses of some daemons, which may be down. `link_mbps` is what the VM's link carries, in
-    Mbit/s; 0 when that is not known.
+    Mbit/s, and `processors` the cores that the process may use; 0 when that is not known.
     """
 
     name: DaemonName
@@ -54,3 +54,4 @@
     lookup_max_s: float
     terms: BudgetTerms
     link_mbps: float = 0.0
+    processors: float = 0.0
--- a/lycheepin/platform/boot.py
+++ b/lycheepin/platform/boot.py
@@ -62,6 +62,7 @@
     try:
         bounds = _Bounds.parse(document.get("bounds", []))
         listen = document["listen"]
+        limits = document.get("limits", {})
         return GatewaySettings(
             name=DaemonName(document["nodeName"]),
             host=Address(document["ip"]),
@@ -86,7 +87,9 @@
                 cold_over=bounds.get("coldOver", 1.0),
                 cold_slack=bounds.get("coldSlack", 0.0),
             ),
-            link_mbps=float(document.get("limits", {}).get("linkMbps", 0.0)),
+            link_mbps=float(limits.get("linkMbps", 0.0)),
+            # the share is of one core, and that core is `cores` times as fast
+            processors=float(limits.get("cpuShare", 0.0)) * float(limits.get("cores", 1)),
         )
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
         raise SettingsError(f"settings: {error!r}") from error
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -240,6 +240,7 @@
         SocketAddress.parse(document["front"]),
         SocketAddress.parse(document["control"]),
         float(document.get("link_mbps", 0.0)),
+        float(document.get("processors", 0.0)),
     )
 
 
@@ -253,5 +254,6 @@
             "front": str(record.front),
             "control": str(record.control),
             "link_mbps": record.link_mbps,
+            "processors": record.processors,
         }
     ).encode()
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import pathlib
 import random
 import signal
@@ -69,6 +68,7 @@
         self._count = daemons
         self._probes: list[int] = []
         self._started = 0
+        self._lock: socket.socket | None = None
 
     @staticmethod
     def now_s() -> float:
@@ -89,7 +89,7 @@
         for service, count in ENDPOINTS.items():
             for _ in range(count):
                 await self.add_endpoint(service, cold_s=0.0)
-        network = _find_network()
+        self._lock, network = _take_network()
         hosts = [Address(f"127.{network}.0.{n + 1}") for n in range(self._count)]
         seeds = tuple(f"{host}:{CONTROL_PORT}" for host in hosts[:3])
         for number, host in enumerate(hosts):
@@ -111,6 +111,8 @@
             endpoint.stand_in.close()
         self.store_proxy.close()
         self.store.close()
+        if self._lock is not None:
+            self._lock.close()
 
     async def watch_daemons(self) -> None:
         """Starts daemons that have ended again, for ever."""
@@ -217,10 +219,14 @@
         return answer
 
 
-def _find_network() -> int:
-    """Returns the number of a loopback network on which no other soak runs."""
+def _take_network() -> tuple[socket.socket, int]:
+    """Returns the number of a loopback network, and the socket that keeps others out of it."""
     for network in range(FIRST_NETWORK, LAST_NETWORK):
-        with socket.socket() as probe, contextlib.suppress(OSError):
-            probe.bind((f"127.{network}.0.1", CONTROL_PORT))
-            return network
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{network}.255.1", CONTROL_PORT))
+        except OSError:
+            lock.close()
+            continue
+        return lock, network
     raise OSError(f"no free network from 127.{FIRST_NETWORK} to 127.{LAST_NETWORK}")
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -1,9 +1,39 @@
 import asyncio
 import json
+import unittest
 
+from lycheepin.gateway.directory import DaemonRecord, Directory
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.names import RegionName, ZoneName
-from tests.gateway.deployment import DeploymentCase, read_answer, request
+from lycheepin.names import DaemonName, RegionName, ZoneName
+from tests.gateway.deployment import HOST, DeploymentCase, read_answer, request
+
+
+class Naming(unittest.TestCase):
+    """Which daemons of a zone are named, by the width of their links and their processors."""
+
+    def _named(self, *daemons: tuple[float, float]) -> list[int]:
+        """Returns the ports that are named of daemons with some links and processors."""
+        directory = Directory()
+        for port, (link_mbps, processors) in enumerate(daemons):
+            address = SocketAddress(HOST, port)
+            name, zone, region = DaemonName(f"d{port}"), ZoneName("z"), RegionName("r")
+            directory.register(
+                DaemonRecord(name, 1, zone, region, address, address, link_mbps, processors)
+            )
+        return [address.port for address in directory.near(ZoneName("z"), RegionName("r"))]
+
+    def test_narrow_links_are_left_out_while_wide_ones_can_carry_the_load(self) -> None:
+        self.assertEqual(self._named((10, 0.4), (200, 2), (10, 0.4), (200, 2)), [1, 3])
+
+    def test_one_wide_link_alone_is_not_enough(self) -> None:
+        self.assertEqual(self._named((10, 0.4), (200, 2), (10, 0.4)), [0, 1, 2])
+
+    def test_wide_links_with_few_processors_are_not_enough(self) -> None:
+        self.assertEqual(self._named((10, 2), (200, 0.4), (10, 2), (200, 0.4)), [0, 1, 2, 3])
+
+    def test_equal_or_unknown_links_are_all_named(self) -> None:
+        self.assertEqual(self._named((5, 1), (5, 1), (5, 1)), [0, 1, 2])
+        self.assertEqual(self._named((0, 0), (0, 0)), [0, 1])
 
 
 class Calls(DeploymentCase):
