Overload: late returns yield to fresh work, queues are short, bursts are expected of all daemons

Answers were as many as before, but late: callers that returned after a refusal took slots although their target had passed, and endpoints' queues were overfilled, since in a burst every daemon believed the others' load of a moment before. Ruled out in the model (no gain at any load): time constants of load, smoothing, rank bias, one or three homes, the first guess of work time.

Change: a return is told by the time that its caller still grants (steering/returns.py) and gets half of an endpoint's slots once its target has passed; queues at endpoints are 0.5, 0.4 and 0.2 of the slots by priority; others are taken to grow with this daemon's own requests, up to three times. Log lines that fit only in part are finished first, and lost lines are told in the next one.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SEED ?= 1
 SECONDS ?= 30
 
-.PHONY: demo test lint generate check build measure measure-slopes models matrix soak clean
+.PHONY: demo test lint generate check build measure measure-slopes models matrix soak experiment clean
 
 build: dist/lycheepin
 
@@ -34,8 +34,8 @@
 	$(BIN)/python -m tools.run_tests
 
 lint: $(VENV)/ready
-	$(BIN)/black -q --check lycheepin standins tools tests models matrix measure soak soak
-	$(BIN)/ruff check -q lycheepin standins tools tests models matrix measure soak soak
+	$(BIN)/black -q --check lycheepin standins tools tests models matrix measure soak experiments
+	$(BIN)/ruff check -q lycheepin standins tools tests models matrix measure soak experiments
 	$(BIN)/mypy
 	$(BIN)/python tools/generate.py --check
 
@@ -53,3 +53,6 @@
 
 soak: $(VENV)/ready
 	@$(BIN)/python -m soak --seed $(SEED) --seconds $(SECONDS)
+
+experiment: $(VENV)/ready
+	@$(BIN)/python -m experiments
--- a/lycheepin/gateway/decisions.py
+++ b/lycheepin/gateway/decisions.py
@@ -16,21 +16,37 @@
 
 
 class JsonHandler(Handler):  # type: ignore[misc]
-    """Writes records as JSON lines to a descriptor that is never waited for."""
+    """Writes records as JSON lines to a descriptor that is never waited for.
+
+    A line that fits only in part is finished before the next one, so that no line is split.
+    """
 
     def __init__(self, descriptor: int) -> None:
         super().__init__(level=INFO)
         self._descriptor = descriptor
+        self._rest = b""
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
     def emit(self, record: LogRecord) -> None:
-        """Writes one record; counts it when the reader is too slow."""
+        """Writes one record; counts it, and says so later, when the reader is too slow."""
         line = {"time": record.time.timestamp(), "event": record.message, **record.extra}
+        if self.dropped:
+            line["dropped_before"] = self.dropped
+        content = json.dumps(line, default=str).encode() + b"\n"
+        if self._write(self._rest) and not self._rest and self._write(content):
+            self.dropped = 0
+        else:
+            self.dropped += 1
+
+    def _write(self, content: bytes) -> bool:
+        """Writes what fits, keeps the rest for later; returns False when nothing fits."""
         try:
-            os.write(self._descriptor, json.dumps(line, default=str).encode() + b"\n")
+            written = os.write(self._descriptor, content)
         except BlockingIOError:
-            self.dropped += 1
+            return False
+        self._rest = content[written:]
+        return True
 
 
 class DecisionLog:
--- a/lycheepin/gateway/path.py
+++ b/lycheepin/gateway/path.py
@@ -16,6 +16,7 @@
 from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Dispatcher, Refuse, Send
 from lycheepin.steering.fleet import Endpoint, Fleet
 from lycheepin.steering.progress import Effect, Progress, Result, Served
+from lycheepin.steering.returns import Returns
 from lycheepin.steering.routes import Route, RoutingTable, Shares
 from lycheepin.transport.connection import BrokenAnswer, Headers
 from lycheepin.transport.headers import end_to_end
@@ -49,6 +50,7 @@
         self._log = log
         self._metrics = metrics
         self._shares = Shares()
+        self._returns = Returns()
         self._terms = terms
         self._retries: defaultdict[ServiceName, RetryAllowance] = defaultdict(
             lambda: RetryAllowance(self._terms)
@@ -78,13 +80,15 @@
             self._answer_fault(request, ErrorKind.NO_ROUTE, None)
             return
         service = self._shares.pick(route, table.version)
+        left_s = self._left_s(request, route)
         progress = Progress(
             route,
             service,
             request.arrival_s,
-            self._deadline_s(request, route),
+            request.arrival_s + min(left_s, route.timeout_s),
             identifier,
             self._object_key(request, route) or identifier,
+            self._returns.waited_s(route, left_s, request.arrival_s),
         )
         self._retries[service].count_request(request.arrival_s)
         try:
@@ -117,11 +121,10 @@
         key = request.header(self._dialect.object_key) or b"" if route.sticky else b""
         return key.decode("latin-1")
 
-    def _deadline_s(self, request: IncomingRequest, route: Route) -> float:
-        """Returns when the final answer is due: by the caller's time left and the route's."""
+    def _left_s(self, request: IncomingRequest, route: Route) -> float:
+        """Returns the time that the caller still grants, in seconds."""
         value = request.header(self._dialect.time_left) or b""
-        left_s = int(value) / MS_PER_S if value.isdigit() else route.timeout_s
-        return request.arrival_s + min(left_s, route.timeout_s)
+        return int(value) / MS_PER_S if value.isdigit() else route.timeout_s
 
     async def _try_endpoints(
         self, request: IncomingRequest, body: bytes, progress: Progress, table: RoutingTable
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -27,7 +27,10 @@
 LISTED_PART = 0.75
 # Requests that may wait at an endpoint for each of its slots, by priority; less urgent work
 # stops earlier so that more urgent work still finds room.
-WAITING_PER_SLOT = (1.0, 0.8, 0.5)
+WAITING_PER_SLOT = (0.5, 0.4, 0.2)
+# Part of an endpoint's slots that is kept free of returned work whose target has passed already:
+# it would make others late as well.
+LATE_RESERVE = 0.5
 # How much sooner, as a part, the second home has to be expected to answer to be preferred.
 RANK_BIAS = 0.5
 # Shortest and longest time in seconds after which a refused caller is asked to come back.
@@ -41,7 +44,8 @@
 class Demand:
     """One attempt that needs an endpoint; times are monotonic seconds.
 
-    `draw` is a number from 0 to 1 of this request's own, by which callers' returns are spread.
+    `draw` is a number from 0 to 1 of this request's own, by which callers' returns are spread;
+    `returned` tells that the caller was refused or failed before.
     """
 
     service: ServiceName
@@ -52,6 +56,7 @@
     deadline_s: float
     tried: frozenset[EndpointId] = frozenset()
     draw: float = 0.5
+    returned: bool = False
 
 
 @dataclass(frozen=True)
@@ -134,7 +139,9 @@
         answer_s, rank = self._soonest(homes, now_s)
         endpoint = homes[rank]
         slots = endpoint.record.slots
-        if endpoint.load(now_s) + 1 <= slots:
+        work_s = self._fleet.work_s(demand.service)
+        late = demand.returned and now_s + work_s > demand.target_s
+        if endpoint.load(now_s) + 1 <= slots * (1 - LATE_RESERVE if late else 1):
             return Send(endpoint, rank)
         urgency = min(demand.priority, len(WAITING_PER_SLOT) - 1)
         limit = slots * (1 + WAITING_PER_SLOT[urgency])
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -24,6 +24,8 @@
 # Work time in seconds before a service has answered anything: its first work is on objects that
 # no endpoint knows yet.
 FIRST_WORK_S = 1.0
+# How many times the reported load of others may be taken to have grown.
+MAX_GROWTH = 3.0
 # Time constants in seconds with which old beliefs give way: the load of others to none, an
 # endpoint's work time to its service's. An endpoint that is avoided is not heard from, and must
 # not be avoided for ever.
@@ -76,6 +78,7 @@
     gone: bool = False
     _heard_s: float = 0.0
     _others: float = 0.0
+    _own_then: float = 0.0
     _others_at_s: float = 0.0
     _extra_work_s: float = 0.0
     _extra_work_at_s: float = 0.0
@@ -99,8 +102,14 @@
         return now_s - self._heard_s if self.in_flight else 0.0
 
     def others(self, now_s: float) -> float:
-        """Returns the estimate of the other daemons' requests that run or wait there."""
-        return self._others * exp((self._others_at_s - now_s) / LOAD_MEMORY_S)
+        """Returns the estimate of the other daemons' requests that run or wait there.
+
+        A burst reaches all daemons at once: where this one has more requests than at the time of
+        the reports, the others are taken to have more as well.
+        """
+        faded = self._others * exp((self._others_at_s - now_s) / LOAD_MEMORY_S)
+        growth = self.in_flight / max(1.0, self._own_then)
+        return faded * min(MAX_GROWTH, max(1.0, growth))
 
     def load(self, now_s: float) -> float:
         """Returns the estimate of all requests that run or wait there."""
@@ -113,8 +122,9 @@
     def observe_load(self, now_s: float, running: int, waiting: int) -> None:
         """Takes in the load that an answer reported; this daemon's own part is known better."""
         others = max(0.0, running + waiting - self.in_flight)
-        before = self.others(now_s)
+        before = self._others * exp((self._others_at_s - now_s) / LOAD_MEMORY_S)
         self._others = before + SMOOTHING * (others - before)
+        self._own_then += SMOOTHING * (self.in_flight - self._own_then)
         self._others_at_s = now_s
 
     def turned_away(self, now_s: float) -> float:
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -68,7 +68,8 @@
 class Progress:
     """The account of one request; times are monotonic seconds.
 
-    `body_held` tells whether the whole body is at hand, so that it can be sent again.
+    `waited_s` is how long the caller had waited before this try. `body_held` tells whether the
+    whole body is at hand, so that it can be sent again.
     """
 
     route: Route
@@ -77,6 +78,7 @@
     deadline_s: float
     identifier: str
     object_key: str
+    waited_s: float = 0.0
     body_held: bool = True
     sent: int = 0
     unreachable: int = 0
@@ -90,10 +92,11 @@
             self.object_key,
             self.route.priority,
             self.route.home_regions,
-            self.arrival_s + self.route.target_s,
+            self.arrival_s - self.waited_s + self.route.target_s,
             self.deadline_s,
             frozenset(self.tried),
             (crc32(self.identifier.encode()) & _DRAW_MASK) / _DRAW_MASK,
+            self.waited_s > 0.0,
         )
 
     @property
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -1,7 +1,13 @@
 import unittest
 
 from lycheepin.names import EndpointId, RegionName, ZoneName
-from lycheepin.steering.dispatch import HOMES_PER_OBJECT, MAX_RETRY_AFTER_S, Refuse, Send
+from lycheepin.steering.dispatch import (
+    HOMES_PER_OBJECT,
+    MAX_RETRY_AFTER_S,
+    WAITING_PER_SLOT,
+    Refuse,
+    Send,
+)
 from tests.steering.builders import SPEC, build_dispatcher, build_fleet, demand, record
 
 
@@ -90,10 +96,24 @@
     def test_urgent_work_still_finds_room_where_less_urgent_is_refused(self) -> None:
         self._teach(0.1)
         for endpoint in self.fleet.all():
-            endpoint.in_flight = 6
+            endpoint.in_flight = int(endpoint.record.slots * (1 + WAITING_PER_SLOT[2]))
         self.assertIsInstance(self.dispatcher.choose(demand(priority=2), SPEC, 0.0), Refuse)
         self.assertIsInstance(self.dispatcher.choose(demand(priority=0), SPEC, 0.0), Send)
 
+    def test_returned_work_that_is_late_anyway_leaves_room_for_other_work(self) -> None:
+        self._teach(0.5)
+        for endpoint in self.fleet.all():
+            endpoint.in_flight = 3
+        late = demand(target_s=0.4, returned=True)
+        self.assertIsInstance(self.dispatcher.choose(late, SPEC, 0.0), Refuse)
+        in_time = demand(target_s=0.8, returned=True)
+        self.assertIsInstance(self.dispatcher.choose(in_time, SPEC, 0.0), Send)
+        first = demand(target_s=0.4)
+        self.assertIsInstance(self.dispatcher.choose(first, SPEC, 0.0), Send)
+        for endpoint in self.fleet.all():
+            endpoint.in_flight = 1
+        self.assertIsInstance(self.dispatcher.choose(late, SPEC, 0.0), Send)
+
     def test_work_that_would_come_late_is_refused_at_once(self) -> None:
         self._teach(0.9)
         for endpoint in self.fleet.all():
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -1,10 +1,26 @@
 import unittest
 
 from lycheepin.names import EndpointId, ZoneName
-from lycheepin.steering.fleet import LAST_EXCLUSION_S, REAPPEAR_S
+from lycheepin.steering.fleet import LAST_EXCLUSION_S, MAX_GROWTH, REAPPEAR_S
 from tests.steering.builders import SERVICE, build_fleet, record
 
 
+class Loads(unittest.TestCase):
+    def test_others_are_taken_to_grow_with_this_daemons_own_requests(self) -> None:
+        endpoint = build_fleet(record("a", slots=9)).get(EndpointId("a"))
+        assert endpoint is not None
+        for _ in range(30):
+            endpoint.in_flight = 1
+            endpoint.observe_load(0.0, 4, 0)
+        self.assertAlmostEqual(endpoint.others(0.0), 3.0, places=1)
+        endpoint.in_flight = 2
+        self.assertAlmostEqual(endpoint.others(0.0), 6.0, places=1)
+        endpoint.in_flight = 50
+        self.assertAlmostEqual(endpoint.others(0.0), 3.0 * MAX_GROWTH, places=1)
+        endpoint.in_flight = 0
+        self.assertAlmostEqual(endpoint.others(0.0), 3.0, places=1)
+
+
 class Knowledge(unittest.TestCase):
     def test_removed_entry_is_gone_at_once_while_the_store_answers(self) -> None:
         fleet = build_fleet(record("a"), record("b"))
