--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -7,7 +7,7 @@
 
 from lycheepin.errors import ErrorKind
 from lycheepin.gateway.dialect import Dialect
-from lycheepin.gateway.ingress import IncomingRequest
+from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.steering.fleet import Endpoint, Fleet
 from lycheepin.steering.progress import Doubtful, NotRun
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
--- a/lycheepin/gateway/path.py
+++ b/lycheepin/gateway/path.py
@@ -9,7 +9,7 @@
 from lycheepin.gateway.attempt import Answered, Attempt, Attempts
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import Dialect
-from lycheepin.gateway.ingress import IncomingRequest
+from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
 from lycheepin.steering.budgets import BudgetTerms, RetryAllowance
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -15,7 +15,8 @@
 from lycheepin.gateway.decisions import DecisionLog, JsonHandler
 from lycheepin.gateway.dialect import Dialect
 from lycheepin.gateway.directory import DaemonRecord, Directory
-from lycheepin.gateway.ingress import IncomingRequest, Ingress
+from lycheepin.gateway.incoming import IncomingRequest
+from lycheepin.gateway.ingress import Ingress
 from lycheepin.gateway.mirror import Mirror
 from lycheepin.gateway.path import RequestPath
 from lycheepin.gateway.relay import RELAY_PATH, Relay
--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -9,7 +9,7 @@
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
-from lycheepin.gateway.ingress import IncomingRequest
+from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.mirror import Mirror
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.gateway.storage import Changes, Item, Listing, Removed
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -10,7 +10,7 @@
 from urllib.parse import parse_qs
 
 from lycheepin.gateway.following import Follower, Registration
-from lycheepin.gateway.ingress import IncomingRequest
+from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.platform.boot import SETTINGS_VARIABLE, SettingsError, load_settings
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -15,7 +15,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from lycheepin.gateway.ingress import IncomingRequest, Ingress
+from lycheepin.gateway.incoming import IncomingRequest
+from lycheepin.gateway.ingress import Ingress
 
 __all__ = ["MetadataStandIn"]
 
