Silent attempts are given up only where another one can be made, and never while draining

Ruled out: the drain, which had time left. Change: the silence watch asks, when it fires, whether the request may be repeated, the budget allows it and a home has room; a draining daemon gives nothing up. Two tests that fail without it.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lycheepin.errors import ErrorKind
@@ -22,6 +23,8 @@
 IDLE_PART = 0.7
 # Idle time in seconds for which a connection is kept when nothing was announced.
 DEFAULT_IDLE_S = 4.0
+# Seconds between two looks at whether a silent attempt can be made elsewhere.
+LOOK_AGAIN_S = 0.1
 MS_PER_S = 1000
 _BODILESS = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
 
@@ -52,11 +55,11 @@
         body: bytes,
         endpoint: Endpoint,
         deadline_s: float,
-        may_give_up: bool,
+        may_give_up: Callable[[], bool],
     ) -> Attempt:
         """Returns how an attempt ended; its connection is closed when the caller leaves.
 
-        With `may_give_up`, an attempt at an endpoint that has fallen silent ends early.
+        An attempt at an endpoint that has fallen silent ends early if `may_give_up` says so then.
         """
         loop = asyncio.get_running_loop()
         record = endpoint.record
@@ -68,8 +71,7 @@
             async with asyncio.timeout_at(deadline_s) as timer:
                 connection = await self._pool.acquire(record.address, record.port)
                 started_s = loop.time()
-                if may_give_up:
-                    watch = _SilenceWatch(self._fleet, endpoint, timer)
+                watch = _SilenceWatch(self._fleet, endpoint, timer, may_give_up)
                 attempt = await self._run(connection, request, body, endpoint, deadline_s)
             if isinstance(attempt, Answered):
                 self._fleet.observe_answer(endpoint, loop.time(), loop.time() - started_s)
@@ -180,9 +182,15 @@
 class _SilenceWatch:
     """Ends an attempt when nothing at all is heard from its endpoint."""
 
-    def __init__(self, fleet: Fleet, endpoint: Endpoint, timer: asyncio.Timeout) -> None:
-        self._fleet = fleet
+    def __init__(
+        self,
+        fleet: Fleet,
+        endpoint: Endpoint,
+        timer: asyncio.Timeout,
+        may_give_up: Callable[[], bool],
+    ) -> None:
         self._endpoint = endpoint
+        self._may_give_up = may_give_up
         self._timer = timer
         self._loop = asyncio.get_running_loop()
         self._patience_s = fleet.patience_s(endpoint, self._loop.time())
@@ -197,10 +205,10 @@
         """Ends the attempt if the endpoint has been silent since it began, else looks again."""
         now_s = self._loop.time()
         waited_s = min(now_s - self._started_s, self._endpoint.silence_s(now_s))
-        if waited_s >= self._patience_s:
+        if waited_s >= self._patience_s and self._may_give_up():
             self._timer.reschedule(now_s)
         else:
-            left_s = self._patience_s - waited_s
+            left_s = max(LOOK_AGAIN_S, self._patience_s - waited_s)
             self._handle = self._loop.call_later(left_s, self._check)
 
 
--- a/lycheepin/gateway/path.py
+++ b/lycheepin/gateway/path.py
@@ -56,6 +56,7 @@
             lambda: RetryAllowance(self._terms)
         )
         self.table: RoutingTable | None = None
+        self.draining = False
 
     def apply_terms(self, terms: BudgetTerms) -> None:
         """Takes over other bounds of the deployment; what was spent stays spent."""
@@ -158,7 +159,11 @@
         endpoint = choice.endpoint
         started_s = loop.time()
         attempt = await self._attempts.make(
-            request, body, endpoint, progress.deadline_s, progress.may_repeat
+            request,
+            body,
+            endpoint,
+            progress.deadline_s,
+            lambda: self._may_leave(progress, endpoint),
         )
         result = Served(attempt.head.status) if isinstance(attempt, Answered) else attempt
         progress.body_held = request.body_complete and len(body) <= WHOLE_BODY_BYTES
@@ -179,6 +184,15 @@
         )
         return attempt, result
 
+    def _may_leave(self, progress: Progress, endpoint: Endpoint) -> bool:
+        """Returns whether a silent attempt may be given up; never while the daemon drains."""
+        allowance = self._retries[progress.service]
+        daemons = len(self._dispatcher.daemons)
+        now_s = asyncio.get_running_loop().time()
+        return not self.draining and progress.may_leave(
+            endpoint, self._dispatcher, allowance, daemons, now_s
+        )
+
     def _log_effect(self, effect: Effect, endpoint: Endpoint) -> None:
         """Logs what a result changed in the beliefs about an endpoint."""
         if effect.replaced:
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -232,6 +232,7 @@
         started_s = self._loop.time()
         end_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
         self._front.closing = True
+        self._path.draining = True
         self.log.write("draining", in_flight=self._front.in_flight)
         leave = self._loop.create_task(self._platform.leave())
         await asyncio.sleep(LONGEST_CACHED * LOOKUP_LIFETIME_S)
--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -46,12 +46,16 @@
         """Counts a caller's request for the service."""
         self._requests.append(now_s)
 
-    def try_spend(self, now_s: float, daemons: int) -> bool:
-        """Counts a second attempt if it fits the part of one of `daemons`; returns whether."""
+    def can_spend(self, now_s: float, daemons: int) -> bool:
+        """Returns whether a second attempt fits the part of one of `daemons`."""
         self._expire(now_s)
         slack = self.terms.retry_slack / max(1, daemons)
         allowed = SAFE_PART * (self.terms.retry_ratio * len(self._requests) + slack)
-        if len(self._retries) + 1 > allowed:
+        return len(self._retries) + 1 <= allowed
+
+    def try_spend(self, now_s: float, daemons: int) -> bool:
+        """Counts a second attempt if it fits the part of one of `daemons`; returns whether."""
+        if not self.can_spend(now_s, daemons):
             return False
         self._retries.append(now_s)
         return True
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -100,14 +100,10 @@
 
     def choose(self, demand: Demand, spec: ServiceSpec, now_s: float) -> Choice:
         """Returns where an attempt goes now."""
-        order = self._placement.order(demand.service, demand.object_key)
-        usable = [endpoint for endpoint in order if self._is_usable(endpoint, demand)]
+        usable = self._usable(demand)
         if not usable:
             return Refuse(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
-        sound = [endpoint for endpoint in usable if now_s >= endpoint.excluded_until_s]
-        listed = [endpoint for endpoint in sound if endpoint.missing_since_s is None]
-        if len(listed) >= LISTED_PART * len(sound):
-            sound = listed
+        sound = self._sound(usable, now_s)
         warm = [endpoint for endpoint in sound if not endpoint.is_cold(now_s)]
         if warm:
             return self._choose_warm(warm, demand, now_s)
@@ -122,6 +118,24 @@
             return self._choose_warm(usable, demand, now_s)
         return Refuse(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
 
+    def has_room(self, demand: Demand, now_s: float) -> bool:
+        """Returns whether an attempt would be sent to a home that is not cold."""
+        sound = self._sound(self._usable(demand), now_s)
+        warm = [endpoint for endpoint in sound if not endpoint.is_cold(now_s)]
+        return bool(warm) and isinstance(self._choose_warm(warm, demand, now_s), Send)
+
+    def _usable(self, demand: Demand) -> list[Endpoint]:
+        """Returns the endpoints to which an attempt may go at all, the first home first."""
+        order = self._placement.order(demand.service, demand.object_key)
+        return [endpoint for endpoint in order if self._is_usable(endpoint, demand)]
+
+    @staticmethod
+    def _sound(usable: Sequence[Endpoint], now_s: float) -> list[Endpoint]:
+        """Returns the endpoints that are neither suspected nor missing from the store."""
+        sound = [endpoint for endpoint in usable if now_s >= endpoint.excluded_until_s]
+        listed = [endpoint for endpoint in sound if endpoint.missing_since_s is None]
+        return listed if len(listed) >= LISTED_PART * len(sound) else sound
+
     def _is_usable(self, endpoint: Endpoint, demand: Demand) -> bool:
         """Returns whether an attempt may go to an endpoint at all."""
         record = endpoint.record
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -12,7 +12,7 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, ServiceName
 from lycheepin.steering.budgets import RetryAllowance
-from lycheepin.steering.dispatch import Demand
+from lycheepin.steering.dispatch import Demand, Dispatcher
 from lycheepin.steering.fleet import Endpoint, Fleet
 from lycheepin.steering.routes import RequestKind, Route
 
@@ -85,8 +85,9 @@
     tried: set[EndpointId] = field(default_factory=set)
     may_have_run: bool = False
 
-    def demand(self) -> Demand:
-        """Returns what the next attempt needs."""
+    def demand(self, without: EndpointId | None = None) -> Demand:
+        """Returns what the next attempt needs, `without` an endpoint that is being tried."""
+        tried = self.tried if without is None else self.tried | {without}
         return Demand(
             self.service,
             self.object_key,
@@ -94,7 +95,7 @@
             self.route.home_regions,
             self.arrival_s - self.waited_s + self.route.target_s,
             self.deadline_s,
-            frozenset(self.tried),
+            frozenset(tried),
             (crc32(self.identifier.encode()) & _DRAW_MASK) / _DRAW_MASK,
             self.waited_s > 0.0,
         )
@@ -108,6 +109,25 @@
             and self.body_held
         )
 
+    def may_leave(
+        self,
+        endpoint: Endpoint,
+        dispatcher: Dispatcher,
+        allowance: RetryAllowance,
+        daemons: int,
+        now_s: float,
+    ) -> bool:
+        """Returns whether an attempt may be given up because another one can be made at once.
+
+        Without one the caller would get an error in place of an answer that may still come.
+        """
+        return (
+            self.may_repeat
+            and now_s + MIN_ATTEMPT_S < self.deadline_s
+            and allowance.can_spend(now_s, daemons)
+            and dispatcher.has_room(self.demand(without=endpoint.record.id), now_s)
+        )
+
     def is_worth_retry(self, result: Result) -> bool:
         """Returns whether another endpoint may do better than what came of an attempt."""
         match result:
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -76,13 +76,30 @@
             )
 
     def signal(self, number: signal.Signals) -> None:
-        """Sends a signal to the process, if it still runs."""
+        """Sends a signal to the process, if it still runs.
+
+        SIGHUP and SIGTERM wait for the first line of the program: before it the interpreter's own
+        start, some 20 ms, has the kernel's default action, and no program can change that.
+        """
         if self.process is None or self.process.poll() is not None:
             return
+        if number in (signal.SIGHUP, signal.SIGTERM) and not self._handles(number):
+            return
         self.paused = number is signal.SIGSTOP or (self.paused and number is not signal.SIGCONT)
         self.expected_end = self.expected_end or number in (signal.SIGTERM, signal.SIGKILL)
         self.process.send_signal(number)
 
+    def _handles(self, number: signal.Signals) -> bool:
+        """Returns whether the process catches or ignores a signal."""
+        assert self.process is not None
+        try:
+            text = pathlib.Path(f"/proc/{self.process.pid}/status").read_text(encoding="utf-8")
+        except OSError:
+            return False  # it has ended meanwhile
+        fields = dict(line.split(":\t", 1) for line in text.splitlines() if ":\t" in line)
+        masks = (int(fields.get(name, "0"), 16) for name in ("SigIgn", "SigCgt"))
+        return any(mask >> (number - 1) & 1 for mask in masks)
+
     def write_settings(self, **bounds: float) -> None:
         """Writes the settings file, with other bounds where some are given."""
         zones = "\n".join(f'{zone} = "{region}"' for zone, region in self.zones.items())
--- a/soak/world.py
+++ b/soak/world.py
@@ -181,6 +181,8 @@
         """Asks a daemon to stop, kills it after the grace period; it is started again."""
         self.ledger.plan(daemon.name, self.now_s())
         daemon.signal(signal.SIGTERM)
+        if not daemon.expected_end:
+            return
         end_s = self.now_s() + BOUNDS["gracePeriodS"]
         life = daemon.lives
         while self.now_s() < end_s and daemon.lives == life:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -1,6 +1,8 @@
 import asyncio
 import time
 
+from lycheepin.gateway.process import Gateway
+from lycheepin.steering.fleet import MIN_SILENCE_S
 from standins.servers import Arrival, answer_ok, answer_with
 from tests.gateway.deployment import DeploymentCase, configuration, read_answer, request
 
@@ -167,14 +169,47 @@
         self.store.put("op/config", configuration(2, timeoutMs=6000))
         gateway = await self.add_gateway()
         await self.ready(gateway)
-        for endpoint in gateway.fleet.all():
-            for _ in range(100):
-                gateway.fleet.observe_answer(endpoint, 0.0, 0.01)
+        await self._teach_short_work(gateway)
         status, _, _ = await self.ask(gateway, request())
         self.assertEqual(status, 200)
         self.assertEqual([len(b.arrivals) for b in self.back_ends], [1, 1])
         self.assertEqual(sum(back_end.cut for back_end in self.back_ends), 1)
 
+    async def _teach_short_work(self, gateway: Gateway) -> None:
+        """Lets a gateway learn that work is short, so that silence is doubted soon."""
+        for endpoint in gateway.fleet.all():
+            for _ in range(100):
+                gateway.fleet.observe_answer(endpoint, 0.0, 0.01)
+
+    async def test_silent_endpoint_is_waited_for_while_there_is_no_other(self) -> None:
+        async def late(arrival: Arrival) -> bytes:
+            await asyncio.sleep(1.5 * MIN_SILENCE_S)
+            return answer_with(arrival)
+
+        await self.add_back_end("a", late)
+        self.store.put("op/config", configuration(2, timeoutMs=6000))
+        gateway = await self.add_gateway()
+        await self.ready(gateway)
+        await self._teach_short_work(gateway)
+        self.assertEqual((await self.ask(gateway, request()))[0], 200)
+
+    async def test_silent_endpoint_is_waited_for_while_the_daemon_drains(self) -> None:
+        async def late(arrival: Arrival) -> bytes:
+            await asyncio.sleep(1.5 * MIN_SILENCE_S)
+            return answer_with(arrival)
+
+        for name in "ab":
+            await self.add_back_end(name, late)
+        self.store.put("op/config", configuration(2, timeoutMs=6000))
+        gateway = await self.add_gateway()
+        await self.ready(gateway)
+        await self._teach_short_work(gateway)
+        asked = asyncio.create_task(self.ask(gateway, request()))
+        await self.until(lambda: any(back_end.arrivals for back_end in self.back_ends))
+        gateway.stop()
+        self.assertEqual((await asked)[0], 200)
+        self.assertEqual(sum(len(b.arrivals) for b in self.back_ends), 1)
+
     async def test_rejected_protected_request_goes_to_another_endpoint(self) -> None:
         async def reject_first(arrival: Arrival) -> bytes:
             first = sum(len(back_end.arrivals) for back_end in self.back_ends) == 1
