--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -8,7 +8,9 @@
 import argparse
 import asyncio
 import pathlib
+import signal
 import sys
+from typing import Any
 
 from soak.callers import Callers
 from soak.faults import FAULTS
@@ -72,6 +74,11 @@
     await asyncio.gather(*running)
 
 
+def _stop(number: int, frame: Any) -> None:
+    """Ends the soak with its processes: left alone they would keep their addresses."""
+    raise KeyboardInterrupt
+
+
 def main() -> int:
     """Runs one soak and prints what it found; returns the exit status."""
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
@@ -81,6 +88,7 @@
     parser.add_argument("--untimed", action="store_true", help="leave bounds in time out")
     options = parser.parse_args()
     folder = pathlib.Path("build/soak") / f"seed-{options.seed}"
+    signal.signal(signal.SIGTERM, _stop)
     ledger = asyncio.run(
         soak(options.seed, options.seconds, options.daemons, folder, not options.untimed)
     )
