--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -1,16 +1,21 @@
+import asyncio
 import json
 import unittest
 from typing import Any
 
+from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
+from thriftpy2.utils import serialize
+
 from lycheepin.gateway import following
 from lycheepin.gateway import mirror as module
 from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.mirror import Mirror
-from lycheepin.gateway.relay import decode_news, encode_news
+from lycheepin.gateway.relay import Relayed, ask_peer, decode_news, encode_news
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.gateway.storage import Changes, Item, Listing, Removed
 from lycheepin.generated.messages import RelayAnswer
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
+from lycheepin.transport.calls import Caller
 from standins.messages import configuration
 
 # Shortest bound of the known deployments for a change to be in force, in seconds.
@@ -120,3 +125,29 @@
         table = configuration(7, routes=1300)
         value = json.dumps(table).encode()
         self.assertLess(len(encode_news(Changes((Item("c", value, 2),), 2))), len(value) / 5)
+
+
+class Ages(unittest.IsolatedAsyncioTestCase):
+    async def test_time_on_the_way_counts_as_age_and_the_senders_wait_does_not(self) -> None:
+        way_s, waited_s = 0.2, 0.3
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(way_s + waited_s)
+            message = answer(Changes((), 9), "127.0.0.1:1")
+            message.waited_ms = int(waited_s * 1000)
+            body = serialize(message, TCyBinaryProtocolFactory())
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        peer = SocketAddress(Address("127.0.0.1"), server.sockets[0].getsockname()[1])
+        store = SocketAddress(Address("127.0.0.1"), 1)
+        caller = Caller(Address("127.0.0.1"))
+        self.addCleanup(caller.close)
+        relayed = await ask_peer(caller, peer, store, 9, 5.0)
+        assert isinstance(relayed, Relayed), relayed
+        self.assertGreaterEqual(relayed.age_s, 1.5 + way_s - 0.01)
+        self.assertLess(relayed.age_s, 1.5 + 5.0)
