--- a/Makefile
+++ b/Makefile
@@ -56,3 +56,6 @@
 
 experiment: $(VENV)/ready
 	@$(BIN)/python -m experiments
+
+clean:
+	rm -rf $(VENV) build dist target
--- a/lycheepin/cli/client.py
+++ b/lycheepin/cli/client.py
@@ -65,6 +65,7 @@
             return ClientError("unreachable", f"{self._base_url}: {error!r}")
         except Exception as error:  # The HTTP library has its own error types.
             return ClientError("unreachable", f"{self._base_url}: {error!r}")
-        if response.status != 200:
-            return ClientError(body.get("kind", "error"), body.get("message", str(response)))
-        return body
+        if response.status == 200:
+            return body
+        fields = body if isinstance(body, dict) else {}
+        return ClientError(fields.get("kind", "error"), fields.get("message", str(response)))
--- a/lycheepin/cli/commands.py
+++ b/lycheepin/cli/commands.py
@@ -81,7 +81,9 @@
     log_lines: list[str] = []
     for log_path in options.logs:
         try:
-            log_lines += pathlib.Path(log_path).read_text(encoding="utf-8").splitlines()
+            log_lines += (
+                pathlib.Path(log_path).read_text(encoding="utf-8", errors="replace").splitlines()
+            )
         except OSError as error:
             print(f"lycheepin: {error}", file=sys.stderr)
             return EXIT_REFUSED
--- a/lycheepin/cluster/membership.py
+++ b/lycheepin/cluster/membership.py
@@ -30,6 +30,7 @@
 MAX_PAUSE_INTERVALS = 4  # A longer time between calls of `advance` means a stopped process.
 RETRANSMIT_FACTOR = 3  # Transmissions of a change per log2 of the cluster size.
 UNREACHABLE_PROBE_PERIOD = 4  # Intervals between probes of unreachable members.
+MAX_ENDED = 4096  # Ended incarnations that are remembered: seven weeks at 76 restarts a day.
 
 
 class HeartbeatKind(Enum):
@@ -86,7 +87,7 @@
         self._interval_s = interval_s
         self._random = random.Random(seed)
         self._members: dict[Address, Member] = {}
-        self._ended: set[Incarnation] = set()
+        self._ended: dict[Incarnation, None] = {}  # In order of detection.
         self._candidates: dict[Address, int] = {}  # Ports by address.
         self._suspect_since_s: dict[Address, float] = {}
         self._pending_updates: dict[Address, int] = {}  # Times sent by address.
@@ -132,10 +133,16 @@
         member = self._members.pop(address, None)
         self._candidates.pop(address, None)
         if member is not None:
-            self._ended.add(member.incarnation)
+            self._record_end(member.incarnation)
             self._suspect_since_s.pop(address, None)
             self.change_count += 1
 
+    def _record_end(self, incarnation: Incarnation) -> None:
+        """Remembers that a process has ended, and forgets the oldest ones beyond MAX_ENDED."""
+        self._ended[incarnation] = None
+        while len(self._ended) > MAX_ENDED:
+            del self._ended[next(iter(self._ended))]
+
     def announce_leaving(self) -> None:
         """Sets this daemon's state to leaving and queues it for dissemination."""
         self.local_member = replace(
@@ -178,7 +185,7 @@
         if known is not None and member.precedence <= known.precedence:
             return
         if known is not None and member.incarnation > known.incarnation:
-            self._ended.add(known.incarnation)
+            self._record_end(known.incarnation)
         self._members[member.address] = member
         self._candidates.pop(member.address, None)
         if member.state is MemberState.SUSPECT:
--- a/lycheepin/daemon/changes.py
+++ b/lycheepin/daemon/changes.py
@@ -158,7 +158,7 @@
                 timeout_s=COVERAGE_TIMEOUT_S,
             )
         match answer:
-            case CallAnswer(status=200, body=body):
+            case CallAnswer(status=200, body=body) if body.isdigit():
                 return int(body)
         return None
 
--- a/lycheepin/daemon/peers.py
+++ b/lycheepin/daemon/peers.py
@@ -94,6 +94,7 @@
         self._send_heartbeats(node.membership.advance(now_s))
         node.update_removed_vms()
         self._record_member_changes()
+        self._forget_ended_holders()
         self._send_report_if_due(now_s)
         if now_s - self._last_loan_update_s >= LOAN_RETRY_INTERVAL_S:
             self._last_loan_update_s = now_s
@@ -146,7 +147,8 @@
             case Envelope(push=push) if push is not None:
                 self._receive_push(push, address, port)
             case Envelope(report=report) if report is not None:
-                self.reports_by_holder[sender] = ReceivedReport(sender, report)
+                if sender not in self._node.membership.ended_incarnations():
+                    self.reports_by_holder[sender] = ReceivedReport(sender, report)
             case Envelope(loan_request=request) if request is not None:
                 self._loans.receive_loan_request(request, sender)
             case Envelope(loan=loan) if loan is not None:
@@ -165,6 +167,11 @@
             self._node.metrics.count("member_changes", member.state.name.lower())
         self._node.membership.changes.clear()
 
+    def _forget_ended_holders(self) -> None:
+        """Removes the reports of processes that have ended."""
+        for holder in self._node.membership.ended_incarnations() & self.reports_by_holder.keys():
+            del self.reports_by_holder[holder]
+
     def _send_heartbeats(self, outgoing_heartbeats: Iterable[OutgoingHeartbeat]) -> None:
         """Sends heartbeats."""
         for outgoing in outgoing_heartbeats:
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from enum import Enum
 from hashlib import blake2b
 from typing import Protocol
 
@@ -20,12 +21,19 @@
     LeaseEnded,
     Listing,
     Store,
+    Stored,
     StoreFailure,
 )
 from lycheepin.names import DaemonName
 from lycheepin.transport.calls import HttpClient
 
-__all__ = ["EntryReader", "Registration", "StoreSynchronizer", "choose_watchers"]
+__all__ = [
+    "EntryReader",
+    "Registration",
+    "RegistrationState",
+    "StoreSynchronizer",
+    "choose_watchers",
+]
 
 # Longest wait of a watch call, in seconds. The platform allows 30 s, but a dead connection is
 # noticed only after the wait, and changes must be in force within 2.5 s.
@@ -235,8 +243,22 @@
                 self._reader.remove_entry(event.key)
 
 
+class RegistrationState(Enum):
+    """Whether this daemon's entry is to be written, kept, removed, or has been removed."""
+
+    REGISTERING = "registering"
+    REGISTERED = "registered"
+    WITHDRAWING = "withdrawing"
+    WITHDRAWN = "withdrawn"
+
+
 class Registration:
-    """Maintains this daemon's entry in the store under a lease."""
+    """Maintains this daemon's entry in the store under a lease until it is withdrawn.
+
+    A write may take effect after its answer is lost or late. It is attached to a lease that is
+    recorded before the write is sent, so ending that lease removes the entry, or makes a write that
+    is still on its way fail.
+    """
 
     def __init__(
         self, store: Store, replica: StoreReplica, key: str, value: bytes, name: DaemonName
@@ -248,47 +270,76 @@
         self._name = name
         self._lease: Lease | None = None
         self._entry_removed = asyncio.Event()
+        self.state = RegistrationState.REGISTERING
 
     async def maintain_entry(self) -> None:
-        """Writes the entry and renews its lease indefinitely; rewrites it if it was removed.
+        """Writes the entry, renews its lease, rewrites it if it was removed; ends on withdrawal.
 
         Waits for the first listing, so that callers are not sent to a daemon without configuration.
         """
         await self._replica.filled.wait()
         while True:
-            if self._lease is None:
-                await self._write_entry()
-            try:
-                async with asyncio.timeout(RENEWAL_S if self._lease else RETRY_PAUSE_S):
-                    await self._entry_removed.wait()
-                self._entry_removed.clear()
-                self._lease = None
-            except TimeoutError:
-                await self._renew_lease()
+            match self.state:
+                case RegistrationState.REGISTERING:
+                    await self._write_entry()
+                    if self.state is RegistrationState.REGISTERING:
+                        await asyncio.sleep(RETRY_PAUSE_S)
+                case RegistrationState.REGISTERED:
+                    await self._keep_entry()
+                case RegistrationState.WITHDRAWING | RegistrationState.WITHDRAWN:
+                    return
 
     def observe_removal(self, name: DaemonName) -> None:
         """Schedules a rewrite of the entry if it is this daemon's entry that was removed."""
-        if name == self._name and self._lease is not None:
+        if name == self._name and self.state is RegistrationState.REGISTERED:
             self._entry_removed.set()
 
-    async def delete_entry(self) -> None:
-        """Removes the entry by ending its lease."""
-        lease, self._lease = self._lease, None
-        if lease is not None:
-            await self._store.end_lease(lease)
+    async def withdraw(self) -> None:
+        """Removes the entry by ending its lease; repeats the call until the store confirms it."""
+        self.state = RegistrationState.WITHDRAWING
+        while self._lease is not None:
+            if await self._store.end_lease(self._lease) is None:
+                self._lease = None
+            else:
+                await asyncio.sleep(RETRY_PAUSE_S)
+        self.state = RegistrationState.WITHDRAWN
 
     async def _write_entry(self) -> None:
-        """Writes the entry under a new lease."""
-        lease = await self._store.grant_lease(LEASE_TTL_S)
-        if isinstance(lease, StoreFailure):
-            return
-        stored = await self._store.put(self._key, self._value, lease)
-        if not isinstance(stored, StoreFailure | LeaseEnded):
+        """Writes the entry under the present lease, or under a new one."""
+        if self._lease is None:
+            lease = await self._store.grant_lease(LEASE_TTL_S)
+            if isinstance(lease, StoreFailure):
+                return
+            if self.state is not RegistrationState.REGISTERING:
+                await self._store.end_lease(lease)
+                return
             self._lease = lease
-
-    async def _renew_lease(self) -> None:
-        """Renews the lease; if it has ended, the entry will be written again."""
-        if self._lease is not None:
-            answer = await self._store.renew_lease(self._lease)
-            if isinstance(answer, LeaseEnded):
+        answer = await self._store.put(self._key, self._value, self._lease)
+        if self.state is not RegistrationState.REGISTERING:
+            return
+        match answer:
+            case LeaseEnded():
                 self._lease = None
+            case Stored():
+                self.state = RegistrationState.REGISTERED
+
+    async def _keep_entry(self) -> None:
+        """Renews the lease after RENEWAL_S seconds, unless the entry is removed before."""
+        try:
+            async with asyncio.timeout(RENEWAL_S):
+                await self._entry_removed.wait()
+            self._entry_removed.clear()
+            ended = True
+        except TimeoutError:
+            if self.state is not RegistrationState.REGISTERED:
+                return
+            ended = await self._renew_lease()
+        if ended and self.state is RegistrationState.REGISTERED:
+            self._lease = None
+            self.state = RegistrationState.REGISTERING
+
+    async def _renew_lease(self) -> bool:
+        """Renews the lease; returns whether it has ended."""
+        if self._lease is None:
+            return True
+        return isinstance(await self._store.renew_lease(self._lease), LeaseEnded)
--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -37,6 +37,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._parsing = IncomingRequest(self, self._loop.time())
         self._receiving: IncomingRequest | None = None
         self._queue: deque[IncomingRequest] = deque()
         self._current: IncomingRequest | None = None
--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -57,8 +57,12 @@
         """Answers a follower with the updates after its revision, once there are any."""
         loop = asyncio.get_running_loop()
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
-        after = int((query.get("after") or ["0"])[0])
-        wait_s = min(MAX_WAIT_S, int((query.get("wait_ms") or ["0"])[0]) / MS_PER_S)
+        try:
+            after = int((query.get("after") or ["0"])[0])
+            wait_s = min(MAX_WAIT_S, int((query.get("wait_ms") or ["0"])[0]) / MS_PER_S)
+        except ValueError:
+            request.respond(400, [], b"after and wait_ms must be whole numbers")
+            return
         started_s = loop.time()
         await self._replica.wait_for_updates(after, wait_s)
         updates = self._replica.read_updates(after)
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -67,7 +67,7 @@
     async def deregister(self) -> None:
         """Removes this daemon's entry, so that directories stop listing it."""
         if self._registration is not None:
-            await self._registration.delete_entry()
+            await self._registration.withdraw()
 
     def reload_settings(self, gateway: Gateway) -> None:
         """Reads the settings file again; an invalid file is logged and changes nothing."""
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -285,6 +285,7 @@
             endpoint = Endpoint(record)
             endpoint.cold_until_s = now_s + record.cold_s
             if current is not None:
+                current.removed = True
                 self.on_removed(current.record)
             self._endpoints[record.id] = endpoint
             self._reindex()
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -77,6 +77,7 @@
                 env={**os.environ, "LYCHEEPIN_BOOT": settings_path},
                 stdout=log,
                 stderr=log,
+                start_new_session=True,
             )
 
     def send_signal(self, signal_number: signal.Signals) -> None:
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -25,7 +25,7 @@
     started_s = time.monotonic()
     lab = Lab(layout, folder, ["dist/lycheepin"], SEED)
     try:
-        _print_progress(started_s, "starting platform, endpoints and 11 daemons")
+        _print_progress(started_s, f"starting platform, endpoints and {len(lab.entry_vms)} daemons")
         lab.start()
         _print_progress(started_s, f"all slots granted; {LOAD_S:g} s of load from 3 regions")
         for process in lab.start_callers(LOAD_S):
--- a/standins/lab.py
+++ b/standins/lab.py
@@ -109,7 +109,10 @@
         file.write_text("// Daemon settings\n" + json.dumps(settings, indent=1, ensure_ascii=False))
         with (self.folder / f"{base}.log").open("ab") as log:
             self.daemons[entry["name"]] = subprocess.Popen(
-                [*self._program, "daemon", str(file)], stdout=log, stderr=log
+                [*self._program, "daemon", str(file)],
+                stdout=log,
+                stderr=log,
+                start_new_session=True,
             )
 
     def run_command(self, *arguments: str, entry: int = 0) -> subprocess.CompletedProcess[bytes]:
@@ -206,10 +209,24 @@
         started_s = time.monotonic()
         while not condition():
             if time.monotonic() - started_s > timeout_s:
-                raise TimeoutError(f"waited {timeout_s:g} s for {description}")
+                ends = "; ".join(self.describe_ended_daemons()) or "all daemons run"
+                raise TimeoutError(f"waited {timeout_s:g} s for {description}; {ends}")
             time.sleep(0.1)
         return time.monotonic() - started_s
 
+    def describe_ended_daemons(self) -> list[str]:
+        """Returns for each daemon that has ended its name, and its exit status or signal."""
+        statuses = {name: process.poll() for name, process in self.daemons.items()}
+        return [
+            (
+                f"{name} ended with status {status}"
+                if status >= 0
+                else f"{name} was ended by {signal.Signals(-status).name}"
+            )
+            for name, status in statuses.items()
+            if status is not None
+        ]
+
     def signal_daemon(self, name: str, number: signal.Signals) -> None:
         """Sends a signal to the daemon of an entry VM."""
         self.daemons[name].send_signal(number)
@@ -238,7 +255,9 @@
         """Starts a stand-in process."""
         with (self.folder / "standins.log").open("ab") as log:
             command = [sys.executable, "-m", "standins", role, self.layout.name, *arguments]
-            return subprocess.Popen(command, stdout=log, stderr=log, env=os.environ.copy())
+            return subprocess.Popen(
+                command, stdout=log, stderr=log, env=os.environ.copy(), start_new_session=True
+            )
 
 
 def _request_json(url: str, value: Any = None) -> Any:
--- a/standins/messages.py
+++ b/standins/messages.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import socket
+import ipaddress
+import itertools
+import os
 from typing import Any
 
 from lycheepin.gateway.settings import SocketAddress
@@ -11,14 +13,15 @@
 
 __all__ = ["HOST", "configuration", "find_free_address", "read_answer", "read_message", "request"]
 
-HOST = Address("127.0.0.1")
+# A loopback address of this process's own, so that runs beside each other don't share ports.
+HOST = Address(str(ipaddress.IPv4Address("127.64.0.1") + os.getpid() % (1 << 22)))
+# Ports below the range from which the system takes the local ports of outgoing connections.
+_PORTS = itertools.count(12_000)
 
 
 def find_free_address() -> SocketAddress:
-    """Returns a loopback address with a free TCP port."""
-    with socket.socket() as bound:
-        bound.bind((HOST, 0))
-        return SocketAddress(HOST, bound.getsockname()[1])
+    """Returns an address of this process with a TCP port that no call has returned before."""
+    return SocketAddress(HOST, next(_PORTS))
 
 
 def configuration(version: int = 1, routes: int = 2, **changes: Any) -> dict[str, Any]:
--- a/tests/cli/test_changes.py
+++ b/tests/cli/test_changes.py
@@ -2,11 +2,15 @@
 
 import contextlib
 import io
+import json
 import pathlib
 import tempfile
 import unittest
+from http.server import BaseHTTPRequestHandler, HTTPServer
+from threading import Thread
 
 from lycheepin.cli.changes import set_targets, start_drain, stop_drain
+from lycheepin.cli.client import ClientError, DaemonClient
 from lycheepin.cli.commands import EXIT_OK, EXIT_REFUSED, EXIT_UNREACHABLE, EXIT_USAGE, main
 from lycheepin.cli.timeline import render_html, render_text
 from lycheepin.clocks import HybridClock
@@ -70,6 +74,34 @@
         self.assertEqual(run_command("lookup", "unqualified", "127.0.0.1")[0], EXIT_USAGE)
         self.assertEqual(run_command("targets", "set", "desk", "browse")[0], EXIT_USAGE)
 
+    def test_error_answer_without_an_object_is_reported_as_an_error(self) -> None:
+        class Answer(BaseHTTPRequestHandler):
+            def do_GET(self) -> None:
+                self.send_response(500)
+                self.send_header("Content-Length", "2")
+                self.end_headers()
+                self.wfile.write(b"[]")
+
+            def log_message(self, *arguments: object) -> None:
+                pass
+
+        with HTTPServer(("127.77.0.11", 0), Answer) as server:
+            thread = Thread(target=server.handle_request)
+            thread.start()
+            result = DaemonClient(f"127.77.0.11:{server.server_port}").get("status")
+            thread.join()
+        self.assertIsInstance(result, ClientError)
+        self.assertEqual(result.kind, "error")
+
+    def test_trace_reads_a_log_with_bytes_that_are_not_utf_8(self) -> None:
+        event = {"time": 1.0, "event": "refused", "daemon": "d", "request": "r1"}
+        with tempfile.TemporaryDirectory() as folder:
+            file = pathlib.Path(folder) / "d.log"
+            file.write_bytes(b"\xff\xfe\n" + json.dumps(event).encode() + b"\n")
+            status, output = run_command("trace", "r1", str(file))
+        self.assertEqual(status, EXIT_OK)
+        self.assertIn("refused", output)
+
 
 class TimelineTest(unittest.TestCase):
     def test_merged_events_have_cause_before_effect_despite_clock_skew(self) -> None:
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -3,7 +3,9 @@
 import random
 import unittest
 from collections.abc import Callable
+from unittest.mock import patch
 
+from lycheepin.cluster import membership as membership_module
 from lycheepin.cluster.documents import compress
 from lycheepin.cluster.member import decode_members, encode_members
 from lycheepin.cluster.membership import (
@@ -130,6 +132,13 @@
             member = node.get(Address("127.0.0.5"))
             self.assertEqual(member.incarnation if member else 0, 2)
 
+    def test_number_of_remembered_ended_processes_is_limited(self) -> None:
+        membership = Membership(make_member(1), INTERVAL_S, 1)
+        with patch.object(membership_module, "MAX_ENDED", 3):
+            for incarnation in range(1, 7):
+                membership.apply_records([make_member(2, incarnation).to_record()], 0.0)
+        self.assertEqual(membership.ended_incarnations(), {3, 4, 5})
+
     def test_announcements_report_a_leaving_member_at_once(self) -> None:
         network = Network(11)
         network.run(20)
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -85,9 +85,15 @@
         return gateway
 
     async def wait_until(self, condition: Callable[[], Any]) -> None:
-        """Waits until a condition holds; raises TimeoutError after `TIMEOUT_S`."""
+        """Waits until a condition holds.
+
+        Raises TimeoutError after `TIMEOUT_S`, and the error of a gateway that failed meanwhile.
+        """
         async with asyncio.timeout(TIMEOUT_S):
             while not condition():
+                for task in self._gateway_tasks:
+                    if task.done():
+                        task.result()
                 await asyncio.sleep(0.01)
 
     async def wait_until_ready(self, gateway: Gateway) -> None:
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -67,6 +67,13 @@
         _, body = await self._get(first.settings.directory, path)
         self.assertEqual(len(json.loads(body)["addresses"]), 3)
 
+    async def test_malformed_poll_of_a_follower_is_answered_with_400(self) -> None:
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for query in ("after=x", "after=1&wait_ms=soon"):
+            status, _ = await self._get(gateway.settings.control, f"/relay?{query}")
+            self.assertEqual(status, 400, query)
+
     async def test_ready_and_metrics_are_served_and_other_paths_are_404(self) -> None:
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -36,6 +36,14 @@
         self.assertEqual(registry.expire_missing(10.0 + REREGISTRATION_S + 0.1), ["a"])
         self.assertIsNone(registry.get(EndpointId("a")))
 
+    def test_endpoint_replaced_by_a_new_process_is_marked_removed(self) -> None:
+        registry = build_registry(record("a"))
+        replaced = registry.get(EndpointId("a"))
+        registry.register(record("a", started_ms=7), 1.0)
+        assert replaced is not None
+        self.assertTrue(replaced.removed)
+        self.assertIsNot(registry.get(EndpointId("a")), replaced)
+
     def test_entry_that_is_registered_again_in_time_is_kept(self) -> None:
         registry = build_registry(record("a"))
         registry.observe_store_outage()
