--- a/experiments/model.py
+++ b/experiments/model.py
@@ -18,7 +18,7 @@
 
 from lycheepin.errors import ErrorKind
 from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
-from lycheepin.steering.budgets import BudgetLimits, RetryBudgetShare
+from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
 from lycheepin.steering.dispatch import (
     AttemptRequirements,
     Choice,
@@ -207,11 +207,11 @@
         self.region = layout.get_region(zone)
         self.registry = EndpointRegistry()
         placement = Placement(self.registry, self.region)
-        self.dispatcher = Dispatcher(self.registry, placement, limits, DaemonName(name))
-        self.dispatcher.daemons = tuple(DaemonName(other) for other in daemon_names)
+        names = tuple(DaemonName(other) for other in daemon_names)
+        self._carriers = Carriers(DaemonName(name), lambda: names)
+        self.dispatcher = Dispatcher(self.registry, placement, limits, self._carriers)
         self.choose_endpoint: Chooser = self.dispatcher.choose_endpoint
         self.attempts_sent = 0
-        self._daemon_count = len(daemon_names)
         self._retry_budget = RetryBudgetShare(limits)
         self._caller_retries = CallerRetries()
         self._simulation = simulation
@@ -255,7 +255,10 @@
                 result, endpoint, self.registry, self._simulation.scheduler.now_s
             )
             if progress.is_retryable(result) and progress.try_reserve_attempt(
-                result, self._retry_budget, self._daemon_count, self._simulation.scheduler.now_s
+                result,
+                self._retry_budget,
+                self._carriers.slack_fraction,
+                self._simulation.scheduler.now_s,
             ):
                 self._make_attempt(request, progress, on_result)
             else:
--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -28,7 +28,6 @@
         self.store_answers = False
         self._log = log
         self.on_configuration: Callable[[RoutingTable], None] = lambda table: None
-        self.on_daemons_changed: Callable[[tuple[DaemonName, ...]], None] = lambda names: None
         self.on_daemon_removed: Callable[[DaemonName], None] = lambda name: None
 
     def apply_configuration(self, table: RoutingTable) -> None:
@@ -74,13 +73,11 @@
         """Adds or updates a daemon."""
         if self.directory.register(record):
             self._log.write("daemon", peer=record.name, incarnation=record.incarnation)
-            self.on_daemons_changed(self.directory.names)
 
     def remove_daemon(self, name: DaemonName) -> None:
         """Removes a daemon whose entry is missing."""
         if self.directory.remove(name):
             self._log.write("daemon_gone", peer=name)
-            self.on_daemons_changed(self.directory.names)
         self.on_daemon_removed(name)
 
     def log_unreadable_entry(self, reason: str) -> None:
--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -40,10 +40,12 @@
 
 
 class Directory:
-    """The registered daemons."""
+    """The registered daemons; `change_count` is the number of changes among them."""
 
     def __init__(self) -> None:
         self._daemons: dict[DaemonName, DaemonRecord] = {}
+        self._carriers: tuple[DaemonName, ...] | None = None
+        self.change_count = 0
 
     @property
     def names(self) -> tuple[DaemonName, ...]:
@@ -59,11 +61,21 @@
         if current is not None and current.incarnation > record.incarnation:
             return False
         self._daemons[record.name] = record
+        if current != record:
+            self._observe_change()
         return current != record
 
     def remove(self, name: DaemonName) -> bool:
         """Removes a daemon; returns whether it was registered."""
-        return self._daemons.pop(name, None) is not None
+        removed = self._daemons.pop(name, None) is not None
+        if removed:
+            self._observe_change()
+        return removed
+
+    def _observe_change(self) -> None:
+        """Counts a change, and forgets what was derived from the daemons before it."""
+        self._carriers = None
+        self.change_count += 1
 
     def missing_from(self, listed: set[DaemonName]) -> list[DaemonName]:
         """Returns the registered daemons that are not in a complete list."""
@@ -73,8 +85,21 @@
         """Returns all daemons except `own`, sorted by name."""
         return [self._daemons[name] for name in sorted(self._daemons) if name != own]
 
+    @property
+    def carriers(self) -> tuple[DaemonName, ...]:
+        """The daemons that callers in any known zone are sent to, sorted by name."""
+        if self._carriers is None:
+            zones = {(record.zone, record.region) for record in self._daemons.values()}
+            found = {r.name for zone in zones for r in self._find_daemons(*zone)}
+            self._carriers = tuple(sorted(found))
+        return self._carriers
+
     def find_addresses(self, zone: ZoneName, region: RegionName) -> list[SocketAddress]:
-        """Returns the addresses that a caller in a zone should connect to.
+        """Returns the addresses that a caller in a zone should connect to."""
+        return [record.front for record in self._find_daemons(zone, region)]
+
+    def _find_daemons(self, zone: ZoneName, region: RegionName) -> list[DaemonRecord]:
+        """Returns the daemons that a caller in a zone should connect to.
 
         They are those of its zone if it has at least MIN_LISTED daemons, else those of its region,
         else those of all daemons.
@@ -83,7 +108,7 @@
         in_zone = [record for record in daemons if record.zone == zone]
         in_region = [record for record in daemons if record.region == region]
         candidates = in_zone if len(in_zone) >= MIN_LISTED else in_region or in_zone or daemons
-        return [record.front for record in _select_by_link(candidates)[:MAX_LISTED]]
+        return _select_by_link(candidates)[:MAX_LISTED]
 
 
 def _select_by_link(daemons: list[DaemonRecord]) -> list[DaemonRecord]:
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass
 from enum import Enum
 from hashlib import blake2b
 from typing import Protocol
@@ -11,7 +12,7 @@
 from lycheepin.gateway.deployment_state import DeploymentState
 from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.mirror import StoreReplica
-from lycheepin.gateway.relay import poll_peer
+from lycheepin.gateway.relay import PeerUpdates, poll_peer
 from lycheepin.gateway.settings import GatewaySettings, SocketAddress
 from lycheepin.gateway.storage import (
     Changes,
@@ -32,29 +33,28 @@
     "Registration",
     "RegistrationState",
     "StoreSynchronizer",
+    "SyncTiming",
     "choose_watchers",
 ]
 
-# Longest wait of a watch call, in seconds. The platform allows 30 s, but a dead connection is
-# noticed only after the wait, and changes must be in force within 2.5 s.
-WATCH_WAIT_S = 1.0
-# Pause in seconds after changes, so that one call gets the rest of a burst; far below the 2.5 s
-# within which configurations and drains must be in force.
-BATCH_PAUSE_S = 0.15
 # Pause in seconds after a failed call.
 RETRY_PAUSE_S = 0.25
-# Wait of a watch call, in seconds, after the store has failed. A call that is lost in an outage
-# would otherwise delay noticing that the store is back.
+# Wait of a watch call, in seconds, after the store has failed or another source was used. A call
+# that is lost in an outage would otherwise delay noticing that the store is back, and followers
+# would take an unconfirmed replica for one that is out of date.
 PROBE_WAIT_S = 0.1
-# Number of daemons of a region that read the store; two, so that updates continue if one fails.
+# Number of daemons of a region that followers poll: one reads the store, the other is its standby.
 WATCHER_COUNT = 2
-# Wait of a follower's call, in seconds; a frozen watcher is noticed after it, well within the
-# 2.5 s in which changes must be in force.
+# Wait of a follower's call, in seconds; a frozen watcher is noticed after it.
 PEER_WAIT_S = 0.5
-# Age in seconds up to which a watcher's replica is fresh. It exceeds WATCH_WAIT_S, since a watch
-# call without changes confirms the replica; together with PEER_WAIT_S it stays below the 2.5 s
-# within which changes must be in force.
-MAX_FRESH_AGE_S = 1.4
+# Wait of the standby's call, in seconds: shorter, so that it reads the store itself by the time
+# that the other followers turn to it.
+STANDBY_WAIT_S = 0.25
+# Wait in seconds of a call to a seed at the start; a seed that starts too answers once it has a
+# listing.
+SEED_WAIT_S = 0.5
+# Number of seeds that a daemon asks for a listing at its start, before it asks the store.
+SEED_ATTEMPTS = 2
 # Time in seconds for which a failed watcher is not polled.
 PEER_BACKOFF_S = 2.0
 # Interval in seconds of the checks for endpoints that did not reappear after an outage.
@@ -63,6 +63,35 @@
 # below the 6 s after which the directory must not return a dead daemon.
 LEASE_TTL_S = 4.0
 RENEWAL_S = 1.5
+# Parts of the time within which changes must be in force: the pause after changes, and what is kept
+# for transfers and processing.
+BATCH_FRACTION = 0.06
+RESERVED_FRACTION = 0.18
+# Time in seconds by which the age up to which a replica is fresh exceeds the wait of a watch call,
+# which confirms the replica when nothing has changed.
+CONFIRMATION_MARGIN_S = 0.4
+
+
+@dataclass(frozen=True)
+class SyncTiming:
+    """Times of the synchronization, in seconds.
+
+    `batch_pause_s` is the pause after changes, so that one call gets the rest of a burst.
+    `max_fresh_age_s` is the age up to which a watcher's replica is fresh, and `watch_wait_s` the
+    longest wait of a watch call; a dead connection to the store is noticed only after it.
+    """
+
+    batch_pause_s: float
+    max_fresh_age_s: float
+    watch_wait_s: float
+
+    @classmethod
+    def from_limit(cls, apply_limit_s: float) -> SyncTiming:
+        """Returns the times with which changes are in force within `apply_limit_s` seconds."""
+        batch_pause_s = BATCH_FRACTION * apply_limit_s
+        reserved_s = RESERVED_FRACTION * apply_limit_s + batch_pause_s + PEER_WAIT_S
+        max_fresh_age_s = max(2 * CONFIRMATION_MARGIN_S, apply_limit_s - reserved_s)
+        return cls(batch_pause_s, max_fresh_age_s, max_fresh_age_s - CONFIRMATION_MARGIN_S)
 
 
 class EntryReader(Protocol):
@@ -87,10 +116,10 @@
 
 
 def choose_watchers(daemons: Iterable[DaemonRecord]) -> list[DaemonRecord]:
-    """Returns the daemons of a region that read the store; every daemon chooses the same ones.
+    """Returns the daemon of a region that reads the store, and its standby.
 
-    Daemons with the widest links are preferred, since a watcher sends each change to all other
-    daemons of its region.
+    Every daemon chooses the same ones. Daemons with the widest links are preferred, since a
+    watcher sends each change to all other daemons of its region.
     """
     ranked = sorted(
         daemons,
@@ -105,9 +134,13 @@
 class StoreSynchronizer:
     """Keeps a gateway's replica and state up to date with the store.
 
-    It reads a complete listing first, then the changes; if the store no longer has the changes, it
-    reads a listing again. Watchers read the store, followers poll the watchers of their region. A
-    source that fails is replaced by the next one: another watcher, the store, any other daemon.
+    It gets a complete listing first, from a seed or the store, then the changes; if the store no
+    longer has the changes, it reads a listing again. One watcher of each region reads the store,
+    its standby polls it, and the others poll these two. A source that fails is replaced by the next
+    one: the standby, the store, any other daemon.
+
+    Load addressed: hundreds of daemons that start, restart or lose a watcher at the same time, at a
+    store whose calls are limited.
     """
 
     def __init__(
@@ -124,19 +157,43 @@
         self._replica = replica
         self._gateway = gateway
         self._state = gateway.state
-        self._store_failed = False
+        self._timing = SyncTiming.from_limit(gateway.settings.apply_limit_s)
+        self._store_confirmed = False
+        self._watchers: list[DaemonRecord] = []
+        self._watchers_as_of = -1
         self._backoff_until_s: dict[SocketAddress, float] = {}
         self._next_peer = 0
 
     async def follow_store(self) -> None:
         """Follows the store, directly or through other daemons; runs indefinitely."""
+        await self._read_seeds()
         while True:
             peer = self._choose_peer()
-            if peer is not None and await self._poll_peer(peer, PEER_WAIT_S):
-                continue
+            if peer is not None:
+                is_standby = self._gateway.record in self._watchers
+                if await self._poll_peer(peer, STANDBY_WAIT_S if is_standby else PEER_WAIT_S):
+                    continue
             if not await self._read_store():
                 await self._poll_next_peer()
 
+    async def _read_seeds(self) -> None:
+        """Gets the first listing from a seed whose replica is fresh, if there is one.
+
+        Seeds read the store themselves, or none of them would ever have a listing.
+        """
+        settings = self._gateway.settings
+        if self._gateway.record.control in settings.seeds:
+            return
+        first = int.from_bytes(blake2b(self._gateway.record.name.encode(), digest_size=4).digest())
+        for number in range(min(SEED_ATTEMPTS, len(settings.seeds))):
+            seed = settings.seeds[(first + number) % len(settings.seeds)]
+            answer = await poll_peer(self._http_client, seed, settings.store, 0, SEED_WAIT_S)
+            if isinstance(answer, str):
+                self._state.log_refused_peer(str(seed), answer)
+            elif answer.age_s <= self._timing.max_fresh_age_s:
+                self._apply_peer_updates(answer, 0)
+                return
+
     async def run_endpoint_expiry(self) -> None:
         """Removes endpoints that did not reappear after an outage; runs indefinitely."""
         while True:
@@ -148,41 +205,50 @@
         own = self._gateway.record
         if self._replica.revision is None:
             return None
-        in_region = [
-            record
-            for record in self._state.directory.list_peers(own.name)
-            if record.region == own.region
-        ]
-        watchers = choose_watchers([*in_region, own])
         now_s = asyncio.get_running_loop().time()
-        if own in watchers:
-            return None
-        for record in watchers:
+        for record in self._find_watchers():
+            if record == own:
+                return None
             if self._backoff_until_s.get(record.control, 0.0) <= now_s:
                 return record.control
         return None
 
+    def _find_watchers(self) -> list[DaemonRecord]:
+        """Returns the watchers of this region; computed again after each change of the daemons."""
+        directory, own = self._state.directory, self._gateway.record
+        if self._watchers_as_of != directory.change_count:
+            self._watchers_as_of = directory.change_count
+            in_region = [r for r in directory.list_peers(own.name) if r.region == own.region]
+            self._watchers = choose_watchers([*in_region, own])
+        return self._watchers
+
     async def _poll_peer(self, peer: SocketAddress, wait_s: float) -> bool:
         """Polls a peer and applies its updates; returns whether they are fresh."""
         after = self._replica.revision or 0
         answer = await poll_peer(
             self._http_client, peer, self._gateway.settings.store, after, wait_s
         )
-        now_s = asyncio.get_running_loop().time()
-        if isinstance(answer, str) or answer.age_s > MAX_FRESH_AGE_S:
+        is_fresh = not isinstance(answer, str) and answer.age_s <= self._timing.max_fresh_age_s
+        if not is_fresh:
+            now_s = asyncio.get_running_loop().time()
             self._backoff_until_s[peer] = now_s + PEER_BACKOFF_S
         if isinstance(answer, str):
             self._state.log_refused_peer(str(peer), answer)
             return False
-        self._replica.confirm_current(now_s, answer.age_s)
-        if answer.age_s <= MAX_FRESH_AGE_S:
+        self._apply_peer_updates(answer, after)
+        return is_fresh
+
+    def _apply_peer_updates(self, answer: PeerUpdates, after: int) -> None:
+        """Applies the updates of a peer after a revision, unless they are older than that."""
+        self._store_confirmed = False
+        self._replica.confirm_current(asyncio.get_running_loop().time(), answer.age_s)
+        if answer.age_s <= self._timing.max_fresh_age_s:
             self._state.mark_store_available(answer.updates.as_of)
         match answer.updates:
             case Listing(as_of=as_of) as listing if as_of >= after:
                 self._apply_listing(listing)
             case Changes(as_of=as_of) as changes if as_of >= after:
                 self._apply_changes(changes)
-        return answer.age_s <= MAX_FRESH_AGE_S
 
     async def _read_store(self) -> bool:
         """Reads a listing or changes from the store; returns whether it answered."""
@@ -191,15 +257,15 @@
             answer: Listing | Changes | HistoryLost | StoreFailure
             answer = await self._store.list_items("")
         else:
-            wait_s = PROBE_WAIT_S if self._store_failed else WATCH_WAIT_S
+            wait_s = self._timing.watch_wait_s if self._store_confirmed else PROBE_WAIT_S
             answer = await self._store.watch("", revision, wait_s)
             if isinstance(answer, HistoryLost):
                 answer = await self._store.list_items("")
         if isinstance(answer, StoreFailure):
-            self._store_failed = True
+            self._store_confirmed = False
             self._state.mark_store_lost(answer.reason)
             return False
-        self._store_failed = False
+        self._store_confirmed = True
         self._replica.confirm_current(asyncio.get_running_loop().time())
         match answer:
             case Listing(as_of=as_of) as listing:
@@ -208,7 +274,7 @@
             case Changes(events=events, as_of=as_of) as changes:
                 self._state.mark_store_available(as_of)
                 self._apply_changes(changes)
-                await asyncio.sleep(BATCH_PAUSE_S if events else 0)
+                await asyncio.sleep(self._timing.batch_pause_s if events else 0)
         return True
 
     async def _poll_next_peer(self) -> None:
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -22,7 +22,8 @@
 from lycheepin.gateway.request_handler import RequestHandler
 from lycheepin.gateway.settings import GatewaySettings
 from lycheepin.metrics import Metrics
-from lycheepin.names import DaemonName, RegionName, ZoneName
+from lycheepin.names import RegionName, ZoneName
+from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.fleet import EndpointRecord, EndpointRegistry
 from lycheepin.steering.placement import Placement
@@ -79,7 +80,8 @@
         self._relay = Relay(self.replica)
         self.draining = False
         placement = Placement(self.registry, settings.region)
-        self._dispatcher = Dispatcher(self.registry, placement, settings.terms, settings.name)
+        carriers = Carriers(settings.name, lambda: self.directory.carriers)
+        self._dispatcher = Dispatcher(self.registry, placement, settings.terms, carriers)
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
         attempt_runner = AttemptRunner(self.registry, self._pool, platform.header_names)
         self._handler = RequestHandler(
@@ -88,6 +90,7 @@
             self._dispatcher,
             attempt_runner,
             settings.terms,
+            carriers,
             self.log,
             self.metrics,
         )
@@ -208,9 +211,6 @@
     def _register_callbacks(self) -> None:
         """Registers callbacks that pass changes of the state to the components they concern."""
 
-        def update_daemons(names: tuple[DaemonName, ...]) -> None:
-            self._dispatcher.daemons = names
-
         def update_table(table: RoutingTable) -> None:
             self._handler.table = table
             self._caller_listener.limits = table.limits
@@ -220,7 +220,6 @@
             self._pool.discard(record.address, record.port)
 
         self.registry.on_removed = release_endpoint
-        self.state.on_daemons_changed = update_daemons
         self.state.on_configuration = update_table
 
     def _reload_settings(self) -> None:
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -12,7 +12,7 @@
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
-from lycheepin.steering.budgets import BudgetLimits, RetryBudgetShare
+from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
 from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Dispatcher, Refusal, SelectedEndpoint
 from lycheepin.steering.fleet import Endpoint, EndpointRegistry
 from lycheepin.steering.progress import AttemptResult, EndpointChange, RequestProgress, Served
@@ -44,6 +44,7 @@
         dispatcher: Dispatcher,
         attempt_runner: AttemptRunner,
         budget_limits: BudgetLimits,
+        carriers: Carriers,
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
@@ -56,6 +57,7 @@
         self._traffic_splitter = TrafficSplitter()
         self._caller_retries = CallerRetries()
         self._budget_limits = budget_limits
+        self._carriers = carriers
         self._retry_shares: defaultdict[ServiceName, RetryBudgetShare] = defaultdict(
             lambda: RetryBudgetShare(self._budget_limits)
         )
@@ -148,9 +150,8 @@
                 self._finish_with_error(request, progress, choice.kind, choice.retry_after_s)
                 return
             outcome, result = await self._make_attempt(request, body, progress, choice)
-            daemons = len(self._dispatcher.daemons)
             if progress.is_retryable(result) and progress.try_reserve_attempt(
-                result, retry_share, daemons, loop.time()
+                result, retry_share, self._carriers.slack_fraction, loop.time()
             ):
                 continue
             if isinstance(outcome, EndpointAnswer):
@@ -202,10 +203,10 @@
         Always false while the daemon drains.
         """
         retry_share = self._retry_shares[progress.service]
-        daemons = len(self._dispatcher.daemons)
+        slack_fraction = self._carriers.slack_fraction
         now_s = asyncio.get_running_loop().time()
         return not self.draining and progress.may_abandon_attempt(
-            endpoint, self._dispatcher, retry_share, daemons, now_s
+            endpoint, self._dispatcher, retry_share, slack_fraction, now_s
         )
 
     def _log_endpoint_change(self, change: EndpointChange, endpoint: Endpoint) -> None:
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -35,8 +35,9 @@
     Listeners: `front` serves callers' requests, `ready` the platform's readiness checks,
     `directory` callers' look-ups, `control` other daemons and `metrics` operators. `seeds` are
     control addresses of daemons to ask at the start if the store does not answer; some may be
-    down. `link_mbps` is the bandwidth of the VM's link in Mbit/s and `processors` the number of
-    cores that the process may use; 0 if unknown.
+    down. Changes of the configuration, drains and evacuations have to be in force within
+    `apply_limit_s`. `link_mbps` is the bandwidth of the VM's link in Mbit/s and `processors` the
+    number of cores that the process may use; 0 if unknown.
     """
 
     name: DaemonName
@@ -53,6 +54,7 @@
     store: SocketAddress
     grace_s: float
     lookup_max_s: float
+    apply_limit_s: float
     terms: BudgetLimits
     link_mbps: float = 0.0
     processors: float = 0.0
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -17,6 +17,9 @@
 SETTINGS_VARIABLE = "LYCHEEPIN_BOOT"
 # Port of the metrics endpoint; has to match deploy/system.toml.
 METRICS_PORT = 9464
+# Bounds in milliseconds on the time until a change of the store has to be in force.
+_APPLY_BOUNDS = ("configApplyMs", "drainTimeoutMs", "evacuationMs")
+MS_PER_S = 1000
 
 
 class SettingsError(ValueError):
@@ -83,6 +86,7 @@
             store=SocketAddress.parse(document["platform"]["address"]),
             grace_s=bounds.get("gracePeriodS", 6.0),
             lookup_max_s=bounds.get("ttl_max_s", 5.0),
+            apply_limit_s=min(bounds.get(name, 2500.0) for name in _APPLY_BOUNDS) / MS_PER_S,
             terms=BudgetLimits(
                 retry_ratio=bounds.get("retryBudgetRatio", 0.1),
                 retry_slack=bounds.get("budgetSlack", 10.0),
--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -1,20 +1,22 @@
 """Shares of limits that apply to all daemons together: retries, and requests to cold endpoints.
 
 Each daemon spends only its own share, so the total stays within the limit without communication,
-also when daemons can't reach each other. The limits keep retries from amplifying an outage, and
-endpoints that restart with empty caches from being overloaded.
+also when daemons can't reach each other. Only daemons that callers are sent to have a share: where
+a few of hundreds carry all requests, the shares of the others would never be spent. The limits keep
+retries from amplifying an outage, and endpoints that restart with empty caches from being
+overloaded.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
 
 from lycheepin.names import DaemonName, EndpointId
 
-__all__ = ["BudgetLimits", "ColdStartLimiter", "RetryBudgetShare"]
+__all__ = ["BudgetLimits", "Carriers", "ColdStartLimiter", "RetryBudgetShare"]
 
 # Fraction of a shared limit that is spent. The rest covers clock differences, and daemons that
 # restart within the window and lose count of what they spent.
@@ -40,6 +42,56 @@
     cold_slack: float = 0.0
 
 
+class Carriers:
+    """The daemons that carry requests, among which shared limits are divided.
+
+    `find_names` returns their names, as the same object until they change. A daemon that knows of
+    none, as at its start, counts itself.
+    """
+
+    def __init__(self, own: DaemonName, find_names: Callable[[], Sequence[DaemonName]]) -> None:
+        self._own = own
+        self._find_names = find_names
+        self._names: Sequence[DaemonName] = ()
+        self._shares: dict[tuple[EndpointId, int], int] = {}
+
+    @property
+    def slack_fraction(self) -> float:
+        """This daemon's share of a limit that is divided equally; 0 if it carries no requests."""
+        names = self._find_names() or (self._own,)
+        return 1 / len(names) if self._own in names else 0.0
+
+    def count_share(self, endpoint_id: EndpointId, limit: int) -> int:
+        """Returns how many of `limit` requests to an endpoint this daemon may send.
+
+        All daemons that know the same carriers compute the same shares. With more carriers than
+        requests, a hash picks those that get one request each.
+        """
+        names = self._find_names() or (self._own,)
+        if names is not self._names:
+            self._names = names
+            self._shares.clear()
+        share = self._shares.get((endpoint_id, limit))
+        if share is None:
+            share = self._shares[(endpoint_id, limit)] = self._compute_share(endpoint_id, limit)
+        return share
+
+    def forget_endpoint(self, endpoint_id: EndpointId) -> None:
+        """Removes the shares of an endpoint that no longer exists."""
+        self._shares = {key: n for key, n in self._shares.items() if key[0] != endpoint_id}
+
+    def _compute_share(self, endpoint_id: EndpointId, limit: int) -> int:
+        """Returns the share of this daemon in the requests to an endpoint."""
+        if self._own not in self._names:
+            return 0
+        if limit >= len(self._names):
+            return limit // len(self._names)
+        ranked = sorted(
+            self._names, key=lambda name: blake2b(f"{endpoint_id}\0{name}".encode()).digest()
+        )
+        return 1 if self._own in ranked[:limit] else 0
+
+
 class RetryBudgetShare:
     """This daemon's share of the retry budget of a service, over a sliding window."""
 
@@ -52,16 +104,19 @@
         """Counts a caller's request for the service."""
         self._requests.append(now_s)
 
-    def can_spend(self, now_s: float, daemon_count: int) -> bool:
-        """Returns whether this daemon's share, one of `daemon_count`, covers one more retry."""
+    def can_spend(self, now_s: float, slack_fraction: float) -> bool:
+        """Returns whether this daemon's share covers one more retry.
+
+        The share covers the retries of the daemon's own requests and a fraction of the slack.
+        """
         self._expire(now_s)
-        slack = self.limits.retry_slack / max(1, daemon_count)
+        slack = self.limits.retry_slack * slack_fraction
         allowed = SAFETY_FRACTION * (self.limits.retry_ratio * len(self._requests) + slack)
         return len(self._retries) + 1 <= allowed
 
-    def try_spend(self, now_s: float, daemon_count: int) -> bool:
+    def try_spend(self, now_s: float, slack_fraction: float) -> bool:
         """Counts a retry if the share covers it; returns whether it does."""
-        if not self.can_spend(now_s, daemon_count):
+        if not self.can_spend(now_s, slack_fraction):
             return False
         self._retries.append(now_s)
         return True
@@ -76,24 +131,18 @@
 class ColdStartLimiter:
     """This daemon's share of the requests that a cold endpoint may get per second."""
 
-    def __init__(self, limits: BudgetLimits) -> None:
+    def __init__(self, limits: BudgetLimits, carriers: Carriers) -> None:
         self.limits = limits
+        self._carriers = carriers
         self._starts: dict[EndpointId, deque[float]] = {}
 
-    def try_start(
-        self,
-        endpoint_id: EndpointId,
-        cold_per_s: float,
-        own: DaemonName,
-        daemons: Sequence[DaemonName],
-        now_s: float,
-    ) -> bool:
+    def try_start(self, endpoint_id: EndpointId, cold_per_s: float, now_s: float) -> bool:
         """Counts a request to a cold endpoint if the share covers it; returns whether it does.
 
         `cold_per_s` is the rate per second that the configuration of the service sets.
         """
         limit = int(SAFETY_FRACTION * (cold_per_s * self.limits.cold_over + self.limits.cold_slack))
-        share = _share_of(endpoint_id, own, daemons, limit)
+        share = self._carriers.count_share(endpoint_id, limit)
         starts = self._starts.setdefault(endpoint_id, deque())
         while starts and starts[0] <= now_s - COLD_WINDOW_S:
             starts.popleft()
@@ -105,18 +154,4 @@
     def forget_endpoint(self, endpoint_id: EndpointId) -> None:
         """Removes the count of an endpoint that no longer exists."""
         self._starts.pop(endpoint_id, None)
-
-
-def _share_of(
-    endpoint_id: EndpointId, own: DaemonName, daemons: Sequence[DaemonName], limit: int
-) -> int:
-    """Returns how many of `limit` requests daemon `own` may send.
-
-    All daemons that know the same daemons compute the same shares. With more daemons than
-    requests, a hash picks the daemons that get one request each.
-    """
-    names = set(daemons) | {own}
-    if limit >= len(names):
-        return limit // len(names)
-    ranked = sorted(names, key=lambda name: blake2b(f"{endpoint_id}\0{name}".encode()).digest())
-    return 1 if own in ranked[:limit] else 0
+        self._carriers.forget_endpoint(endpoint_id)
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -13,8 +13,8 @@
 from dataclasses import dataclass
 
 from lycheepin.errors import ErrorKind
-from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName
-from lycheepin.steering.budgets import BudgetLimits, ColdStartLimiter
+from lycheepin.names import EndpointId, RegionName, ServiceName
+from lycheepin.steering.budgets import BudgetLimits, Carriers, ColdStartLimiter
 from lycheepin.steering.fleet import Endpoint, EndpointRegistry
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.routes import ServiceSpec
@@ -98,13 +98,11 @@
         registry: EndpointRegistry,
         placement: Placement,
         limits: BudgetLimits,
-        own: DaemonName,
+        carriers: Carriers,
     ) -> None:
         self._registry = registry
         self._placement = placement
-        self._cold_starts = ColdStartLimiter(limits)
-        self._own = own
-        self.daemons: Sequence[DaemonName] = ()
+        self._cold_starts = ColdStartLimiter(limits, carriers)
 
     def apply_budget_limits(self, limits: BudgetLimits) -> None:
         """Replaces the budget limits of the deployment."""
@@ -122,18 +120,18 @@
         Cold endpoints are used only when no healthy one is warm, and at a limited rate. Excluded
         endpoints are used only when all are excluded.
         """
+        preferred = self._find_preferred(requirements, now_s)
+        if preferred:
+            return self._choose_warm(preferred, requirements, now_s)
         usable = self._usable_endpoints(requirements)
         if not usable:
             return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
         healthy = self._healthy_endpoints(usable, now_s)
-        warm = [endpoint for endpoint in healthy if not endpoint.is_cold(now_s)]
-        if warm:
-            return self._choose_warm(warm, requirements, now_s)
         cold = [endpoint for endpoint in healthy or usable if endpoint.is_cold(now_s)]
         for rank, endpoint in enumerate(cold):
             identifier = endpoint.record.id
             if endpoint.load(now_s) < endpoint.record.slots and self._cold_starts.try_start(
-                identifier, spec.cold_per_s, self._own, self.daemons, now_s
+                identifier, spec.cold_per_s, now_s
             ):
                 return SelectedEndpoint(endpoint, rank)
         if not cold:
@@ -142,12 +140,41 @@
 
     def has_warm_capacity(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether an attempt would be sent to a warm endpoint now."""
-        healthy = self._healthy_endpoints(self._usable_endpoints(requirements), now_s)
-        warm = [endpoint for endpoint in healthy if not endpoint.is_cold(now_s)]
-        return bool(warm) and isinstance(
-            self._choose_warm(warm, requirements, now_s), SelectedEndpoint
+        preferred = self._find_preferred(requirements, now_s)
+        return bool(preferred) and isinstance(
+            self._choose_warm(preferred, requirements, now_s), SelectedEndpoint
         )
 
+    def _find_preferred(self, requirements: AttemptRequirements, now_s: float) -> list[Endpoint]:
+        """Returns the preferred endpoints of an object: its first healthy warm ones."""
+        use_missing = not self._registry.missing_count or not self._is_listed_enough(
+            requirements, now_s
+        )
+        found: list[Endpoint] = []
+        for endpoint in self._placement.iterate_endpoints(
+            requirements.service, requirements.object_key
+        ):
+            if (
+                now_s >= endpoint.excluded_until_s
+                and not endpoint.is_cold(now_s)
+                and (use_missing or endpoint.missing_since_s is None)
+                and self._is_usable(endpoint, requirements)
+            ):
+                found.append(endpoint)
+                if len(found) == PREFERRED_ENDPOINTS:
+                    break
+        return found
+
+    def _is_listed_enough(self, requirements: AttemptRequirements, now_s: float) -> bool:
+        """Returns whether the endpoints that are listed in the store can do without the others."""
+        healthy = [
+            endpoint
+            for endpoint in self._registry.endpoints(requirements.service)
+            if now_s >= endpoint.excluded_until_s and self._is_usable(endpoint, requirements)
+        ]
+        listed = sum(endpoint.missing_since_s is None for endpoint in healthy)
+        return listed >= MIN_LISTED_FRACTION * len(healthy)
+
     def _usable_endpoints(self, requirements: AttemptRequirements) -> list[Endpoint]:
         """Returns the endpoints that may serve an attempt, in the object's order of preference."""
         ordered = self._placement.order_endpoints(requirements.service, requirements.object_key)
@@ -177,7 +204,7 @@
     def _choose_warm(
         self, candidates: Sequence[Endpoint], requirements: AttemptRequirements, now_s: float
     ) -> Choice:
-        """Returns a preferred endpoint that is expected to answer in time, or a refusal.
+        """Returns one of the preferred endpoints that is expected to answer in time, or a refusal.
 
         Within its slots, an endpoint also takes attempts that will miss their answer target.
         """
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -10,13 +10,17 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from itertools import islice
 from math import exp
+from typing import Any
 
 from lycheepin.names import Address, EndpointId, RegionName, ServiceName, ZoneName
 
-__all__ = ["Endpoint", "EndpointRecord", "EndpointRegistry"]
+__all__ = ["Endpoint", "EndpointRecord", "EndpointRegistry", "OrderChange", "hash_endpoint"]
 
 # Time in seconds after an outage of the store within which expired entries are listed again: 2 s
 # for endpoints to register, 0.3 s for the update to reach this daemon.
@@ -53,6 +57,14 @@
 MAX_EXCLUSION_S = 4.0
 # Consecutive failures after which an endpoint is excluded.
 FAILURES_TO_EXCLUDE = 3
+# Number of changes that are kept for orders of endpoints; an order that is further behind is
+# computed again, which costs about as much as applying them.
+MAX_ORDER_CHANGES = 256
+
+
+def hash_endpoint(endpoint_id: EndpointId) -> Any:
+    """Returns a hash object to which the key of an object can be added in a copy."""
+    return blake2b(f"{endpoint_id}\0".encode(), digest_size=8)
 
 
 @dataclass(frozen=True)
@@ -86,6 +98,7 @@
     failures: int = 0
     missing_since_s: float | None = None
     removed: bool = False
+    id_hash: Any = field(init=False, repr=False, compare=False)
     _last_response_s: float = 0.0
     _other_requests: float = 0.0
     _in_flight_at_reports: float = 0.0
@@ -95,6 +108,10 @@
     _rejected_fraction: float = 0.0
     _rejected_fraction_updated_s: float = 0.0
 
+    def __post_init__(self) -> None:
+        """Prepares the hash of the endpoint, which placement adds the keys of objects to."""
+        self.id_hash = hash_endpoint(self.record.id)
+
     def start_request(self, now_s: float) -> None:
         """Counts a request that is sent to the endpoint."""
         if self.in_flight == 0:
@@ -194,18 +211,34 @@
         return now_s < self.cold_until_s
 
 
+@dataclass(frozen=True)
+class OrderChange:
+    """An endpoint whose position in the orders of its service changes, or that leaves them."""
+
+    service: ServiceName
+    endpoint: Endpoint
+    present: bool
+
+
+# Endpoints of one service with equal numbers of slots in one region have equal weights in orders.
+_Group = tuple[int, RegionName]
+
+
 class EndpointRegistry:
-    """All endpoints by id and by service, and the evacuated zones.
+    """All endpoints by id, by service and by weight, and the evacuated zones.
 
-    `generation` grows whenever the endpoints, their records or the evacuated zones change.
-    `on_removed` is called with the record of each removed endpoint.
+    `order_change_count` is the number of changes of the orders of endpoints, and `missing_count`
+    the number of endpoints that are missing from the store. `on_removed` is called with the record
+    of each removed endpoint.
     """
 
     def __init__(self) -> None:
         self._endpoints: dict[EndpointId, Endpoint] = {}
-        self._by_service: dict[ServiceName, list[Endpoint]] = {}
+        self._groups: dict[ServiceName, dict[_Group, dict[EndpointId, Endpoint]]] = {}
+        self._order_changes: deque[OrderChange] = deque(maxlen=MAX_ORDER_CHANGES)
+        self.order_change_count = 0
+        self.missing_count = 0
         self.evacuated_zones: set[ZoneName] = set()
-        self.generation = 0
         self._mean_processing_s: dict[ServiceName, float] = {}
         self._answers: dict[ServiceName, int] = {}
         self._removals_trusted_after_s = 0.0
@@ -218,7 +251,19 @@
 
     def endpoints(self, service: ServiceName) -> list[Endpoint]:
         """Returns the registered endpoints of a service."""
-        return self._by_service.get(service, [])
+        return [endpoint for _, group in self.groups(service) for endpoint in group]
+
+    def groups(self, service: ServiceName) -> Iterator[tuple[_Group, list[Endpoint]]]:
+        """Yields the endpoints of a service by their number of slots and their region."""
+        for group, endpoints in self._groups.get(service, {}).items():
+            yield group, list(endpoints.values())
+
+    def order_changes_after(self, count: int) -> Iterable[OrderChange] | None:
+        """Returns the changes after the first `count` ones; None if they are no longer kept."""
+        newer = self.order_change_count - count
+        if newer > len(self._order_changes):
+            return None
+        return islice(self._order_changes, len(self._order_changes) - newer, None) if newer else ()
 
     def all(self) -> Iterator[Endpoint]:
         """Yields all registered endpoints."""
@@ -282,23 +327,23 @@
         """
         current = self._endpoints.get(record.id)
         if current is None or current.record.started_ms != record.started_ms:
+            if current is not None:
+                self._remove_endpoint(current)
             endpoint = Endpoint(record)
             endpoint.cold_until_s = now_s + record.cold_s
-            if current is not None:
-                current.removed = True
-                self.on_removed(current.record)
             self._endpoints[record.id] = endpoint
-            self._reindex()
+            self._add_to_orders(endpoint)
             return True
         changed = current.record.draining != record.draining or current.missing_since_s is not None
-        current.missing_since_s = None
-        record_changed = current.record != record
+        self._mark_missing(current, None)
+        if _group_of(current.record) != _group_of(record):
+            self._remove_from_orders(current)
+            current.record = record
+            self._add_to_orders(current)
         current.record = record
         current.cold_until_s = (
             max(current.cold_until_s, now_s + record.cold_s) if record.cold_s else 0
         )
-        if changed or record_changed:
-            self._reindex()
         return changed
 
     def remove(self, endpoint_id: EndpointId, now_s: float) -> bool:
@@ -312,7 +357,7 @@
         if endpoint is None:
             return False
         if self._store_outage or now_s < self._removals_trusted_after_s:
-            endpoint.missing_since_s = now_s
+            self._mark_missing(endpoint, now_s)
             return False
         self._remove_endpoint(endpoint)
         return True
@@ -362,19 +407,45 @@
             for endpoint in self._endpoints.values():
                 if endpoint.record.zone == zone:
                     endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
-        self.generation += 1
 
     def _remove_endpoint(self, endpoint: Endpoint) -> None:
         """Removes an endpoint and calls `on_removed`."""
         endpoint.removed = True
+        self._mark_missing(endpoint, None)
         del self._endpoints[endpoint.record.id]
-        self._reindex()
+        self._remove_from_orders(endpoint)
         self.on_removed(endpoint.record)
 
-    def _reindex(self) -> None:
-        """Rebuilds the index by service."""
-        self.generation += 1
-        index: dict[ServiceName, list[Endpoint]] = {}
-        for endpoint in self._endpoints.values():
-            index.setdefault(endpoint.record.service, []).append(endpoint)
-        self._by_service = index
+    def _mark_missing(self, endpoint: Endpoint, since_s: float | None) -> None:
+        """Records since when an endpoint is missing from the store; None if it is listed."""
+        self.missing_count += (since_s is not None) - (endpoint.missing_since_s is not None)
+        endpoint.missing_since_s = since_s
+
+    def _add_to_orders(self, endpoint: Endpoint) -> None:
+        """Adds an endpoint to the orders of its service."""
+        record = endpoint.record
+        groups = self._groups.setdefault(record.service, {})
+        groups.setdefault((record.slots, record.region), {})[record.id] = endpoint
+        self._record_order_change(OrderChange(record.service, endpoint, True))
+
+    def _remove_from_orders(self, endpoint: Endpoint) -> None:
+        """Removes an endpoint from the orders of its service."""
+        record = endpoint.record
+        groups = self._groups[record.service]
+        group = groups[(record.slots, record.region)]
+        del group[record.id]
+        if not group:
+            del groups[(record.slots, record.region)]
+        if not groups:
+            del self._groups[record.service]
+        self._record_order_change(OrderChange(record.service, endpoint, False))
+
+    def _record_order_change(self, change: OrderChange) -> None:
+        """Keeps a change for the orders that are used later."""
+        self._order_changes.append(change)
+        self.order_change_count += 1
+
+
+def _group_of(record: EndpointRecord) -> tuple[ServiceName, int, RegionName]:
+    """Returns what decides the orders that an endpoint is in, and its weight there."""
+    return record.service, record.slots, record.region
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -129,7 +129,7 @@
         endpoint: Endpoint,
         dispatcher: Dispatcher,
         retry_budget: RetryBudgetShare,
-        daemon_count: int,
+        slack_fraction: float,
         now_s: float,
     ) -> bool:
         """Returns whether the attempt at an unresponsive endpoint may be abandoned.
@@ -140,7 +140,7 @@
         return (
             self.may_resend
             and now_s + MIN_ATTEMPT_S < self.deadline_s
-            and retry_budget.can_spend(now_s, daemon_count)
+            and retry_budget.can_spend(now_s, slack_fraction)
             and dispatcher.has_warm_capacity(
                 self.build_requirements(excluding=endpoint.record.id), now_s
             )
@@ -205,7 +205,7 @@
         self,
         result: AttemptResult,
         retry_budget: RetryBudgetShare,
-        daemon_count: int,
+        slack_fraction: float,
         now_s: float,
     ) -> bool:
         """Returns whether another attempt may follow a result.
@@ -220,7 +220,7 @@
             return False
         if now_s + MIN_ATTEMPT_S >= self.deadline_s:
             return False
-        return self.sent == 0 or retry_budget.try_spend(now_s, daemon_count)
+        return self.sent == 0 or retry_budget.try_spend(now_s, slack_fraction)
 
     def final_error_kind(self, kind: ErrorKind, now_s: float) -> ErrorKind:
         """Returns the error for the caller when the last attempt ended with `kind`.
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -77,6 +77,7 @@
             "store": self.store_address,
             "grace_s": 6.0,
             "lookup_max_s": 5.0,
+            "apply_limit_s": 2.5,
             "terms": BudgetLimits(retry_ratio=0.2, retry_slack=60.0),
         }
         gateway = Gateway(GatewaySettings(**(defaults | changes)), KvPlatform(""))
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -41,6 +41,29 @@
         self.assertEqual(self._find((0, 0), (0, 0)), [0, 1])
 
 
+class CarrierSet(unittest.TestCase):
+    def test_carriers_are_the_daemons_that_look_ups_return_in_any_zone(self) -> None:
+        directory = Directory()
+
+        def register(zone: str, number: int, link_mbps: float) -> DaemonName:
+            name = DaemonName(f"{zone}-{number}")
+            address = SocketAddress(HOST, number)
+            directory.register(
+                DaemonRecord(
+                    name, 1, ZoneName(zone), RegionName("r"), address, address, link_mbps, 1.0
+                )
+            )
+            return name
+
+        for zone in ("z1", "z2"):
+            for number in range(4):
+                register(zone, number, 200.0 if number < 2 else 10.0)
+        self.assertEqual(directory.carriers, ("z1-0", "z1-1", "z2-0", "z2-1"))
+        self.assertIs(directory.carriers, directory.carriers)
+        directory.remove(DaemonName("z1-0"))
+        self.assertEqual(directory.carriers, ("z1-1", "z1-2", "z1-3", "z2-0", "z2-1"))
+
+
 class ManagementCalls(DeploymentCase):
     async def _get(self, address: SocketAddress, path: str) -> tuple[int, bytes]:
         """Returns the status and body of the answer to a GET request."""
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -114,7 +114,7 @@
         await self.wait_until(lambda: self.store.items.get(key, {}).get("lease", lease) != lease)
         await self.wait_until(lambda: gateway.directory.names == (DaemonName("daemon-1"),))
 
-    async def test_only_two_of_four_daemons_read_changes_from_the_store(self) -> None:
+    async def test_only_one_of_four_daemons_reads_changes_from_the_store(self) -> None:
         await self.add_endpoint("a")
         first = await self.add_gateway("daemon-1")
         await self.wait_until_ready(first)
@@ -130,7 +130,34 @@
         for gateway in self.gateways:
             await self.wait_until(lambda g=gateway: g.state.table.version == 11)
         watches = [call for call in self.store.calls if "kv-watch" in call]
-        self.assertLessEqual(len(watches), 2 * 2)
+        self.assertLessEqual(len(watches), 2)
+
+    async def test_standby_takes_over_when_the_reader_ends_without_a_word(self) -> None:
+        await self.add_endpoint("a")
+        gateways = [
+            await self.add_gateway(f"daemon-{number}", link_mbps=100.0 - number)
+            for number in (1, 2, 3)
+        ]
+        for gateway in gateways:
+            await self.wait_until_ready(gateway)
+        await self.wait_until(lambda: all(len(g.directory.names) == 3 for g in gateways))
+        await self.wait_until(lambda: gateways[2].directory.change_count >= 3)
+        self._gateway_tasks.pop(0).cancel()
+        gateways[0].close()
+        self.store.put("op/config", configuration(9))
+        for gateway in gateways[1:]:
+            await self.wait_until(lambda g=gateway: g.state.table.version == 9)
+
+    async def test_daemon_gets_its_first_listing_from_a_seed(self) -> None:
+        await self.add_endpoint("a")
+        control = find_free_address()
+        first = await self.add_gateway("daemon-1", control=control)
+        await self.wait_until_ready(first)
+        await self.wait_until(lambda: first.directory.names)
+        self.store.calls.clear()
+        second = await self.add_gateway("daemon-2", seeds=(control, find_free_address()))
+        await self.wait_until_ready(second)
+        self.assertFalse([call for call in self.store.calls if "kv-range" in call])
 
     async def test_daemon_registers_only_after_its_first_listing(self) -> None:
         self.store.override_status = lambda target: 503 if "kv-range" in target else None
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -9,8 +9,15 @@
 from lycheepin.gateway import following
 from lycheepin.gateway import mirror as replica_module
 from lycheepin.gateway.directory import DaemonRecord
+from lycheepin.gateway.following import SyncTiming
 from lycheepin.gateway.mirror import StoreReplica
-from lycheepin.gateway.relay import PeerUpdates, decode_updates, encode_updates, poll_peer
+from lycheepin.gateway.relay import (
+    ANSWER_GRACE_S,
+    PeerUpdates,
+    decode_updates,
+    encode_updates,
+    poll_peer,
+)
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.gateway.storage import Changes, Item, Listing, Removed
 from lycheepin.generated.messages import RelayAnswer
@@ -102,9 +109,17 @@
 
 class FollowerDelay(unittest.TestCase):
     def test_follower_of_a_watcher_that_lost_the_store_meets_the_bound(self) -> None:
-        delay_s = following.MAX_FRESH_AGE_S + following.PEER_WAIT_S + following.BATCH_PAUSE_S
-        self.assertLess(delay_s, MAX_CONFIGURATION_DELAY_S)
-        self.assertLess(following.WATCH_WAIT_S, following.MAX_FRESH_AGE_S)
+        for limit_s in (MAX_CONFIGURATION_DELAY_S, 4.0, 6.0):
+            timing = SyncTiming.from_limit(limit_s)
+            delay_s = timing.max_fresh_age_s + following.PEER_WAIT_S + timing.batch_pause_s
+            self.assertLess(delay_s, limit_s)
+            self.assertLess(timing.watch_wait_s, timing.max_fresh_age_s)
+
+    def test_standby_notices_a_frozen_reader_before_the_other_followers_turn_to_it(self) -> None:
+        unconfirmed_s = following.STANDBY_WAIT_S + ANSWER_GRACE_S + following.PROBE_WAIT_S
+        self.assertLess(unconfirmed_s, following.PEER_WAIT_S + ANSWER_GRACE_S)
+        timing = SyncTiming.from_limit(MAX_CONFIGURATION_DELAY_S)
+        self.assertLess(following.STANDBY_WAIT_S + unconfirmed_s, timing.max_fresh_age_s)
 
 
 def make_answer(updates: Listing | Changes, store: str) -> RelayAnswer:
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
-from lycheepin.steering.budgets import BudgetLimits
+from lycheepin.steering.budgets import BudgetLimits, Carriers
 from lycheepin.steering.dispatch import AttemptRequirements, Dispatcher
 from lycheepin.steering.fleet import EndpointRecord, EndpointRegistry
 from lycheepin.steering.placement import Placement
@@ -58,9 +58,8 @@
 def build_dispatcher(registry: EndpointRegistry, limits: BudgetLimits | None = None) -> Dispatcher:
     """Returns a dispatcher of the only daemon of a deployment."""
     placement = Placement(registry, RegionName("north"))
-    dispatcher = Dispatcher(registry, placement, limits or BudgetLimits(cold_over=1.5), OWN)
-    dispatcher.daemons = (OWN,)
-    return dispatcher
+    carriers = Carriers(OWN, lambda: (OWN,))
+    return Dispatcher(registry, placement, limits or BudgetLimits(cold_over=1.5), carriers)
 
 
 def build_requirements(key: str = "7", priority: int = 1, **changes: object) -> AttemptRequirements:
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -1,7 +1,7 @@
 import unittest
 
 from lycheepin.names import DaemonName, EndpointId
-from lycheepin.steering.budgets import BudgetLimits, ColdStartLimiter, RetryBudgetShare
+from lycheepin.steering.budgets import BudgetLimits, Carriers, ColdStartLimiter, RetryBudgetShare
 
 DAEMONS = tuple(DaemonName(f"daemon-{number}") for number in range(40))
 
@@ -14,17 +14,17 @@
             budget = RetryBudgetShare(limits)
             for number in range(100):
                 budget.count_request(number * 0.1)
-            while budget.try_spend(9.95, 11):
+            while budget.try_spend(9.95, 1 / 11):
                 spent += 1
         self.assertLessEqual(spent, 0.2 * 1100 + 62)
         self.assertGreater(spent, 0.5 * (0.2 * 1100 + 62))
 
     def test_retries_before_the_window_do_not_count(self) -> None:
         budget = RetryBudgetShare(BudgetLimits(retry_ratio=0.0, retry_slack=2.5, window_s=10.0))
-        self.assertTrue(budget.try_spend(0.0, 1))
-        self.assertTrue(budget.try_spend(0.0, 1))
-        self.assertFalse(budget.try_spend(9.9, 1))
-        self.assertTrue(budget.try_spend(10.1, 1))
+        self.assertTrue(budget.try_spend(0.0, 1.0))
+        self.assertTrue(budget.try_spend(0.0, 1.0))
+        self.assertFalse(budget.try_spend(9.9, 1.0))
+        self.assertTrue(budget.try_spend(10.1, 1.0))
 
 
 class ColdStarts(unittest.TestCase):
@@ -33,10 +33,10 @@
         limits = BudgetLimits(cold_over=1.5, cold_slack=5.0)
         started = 0
         for own in daemons:
-            limiter = ColdStartLimiter(limits)
+            limiter = ColdStartLimiter(limits, Carriers(own, lambda: daemons))
             for attempt in range(50):
                 now_s = attempt * 0.02
-                started += limiter.try_start(EndpointId("e"), cold_per_s, own, daemons, now_s)
+                started += limiter.try_start(EndpointId("e"), cold_per_s, now_s)
         return started
 
     def test_sum_stays_within_the_limit_with_few_and_many_daemons(self) -> None:
@@ -47,5 +47,29 @@
                 self.assertGreater(started, 0)
 
     def test_daemon_that_is_not_listed_counts_itself(self) -> None:
-        limiter = ColdStartLimiter(BudgetLimits(cold_over=1.0, cold_slack=0.0))
-        self.assertTrue(limiter.try_start(EndpointId("e"), 5.0, DAEMONS[0], (), 0.0))
+        carriers = Carriers(DAEMONS[0], lambda: ())
+        limiter = ColdStartLimiter(BudgetLimits(cold_over=1.0, cold_slack=0.0), carriers)
+        self.assertTrue(limiter.try_start(EndpointId("e"), 5.0, 0.0))
+        self.assertEqual(carriers.slack_fraction, 1.0)
+
+    def test_daemon_that_carries_no_requests_has_no_share(self) -> None:
+        carriers = Carriers(DAEMONS[5], lambda: DAEMONS[:3])
+        limiter = ColdStartLimiter(BudgetLimits(cold_over=1.0, cold_slack=9.0), carriers)
+        self.assertFalse(limiter.try_start(EndpointId("e"), 5.0, 0.0))
+        self.assertEqual(carriers.slack_fraction, 0.0)
+
+    def test_shares_follow_a_change_of_the_carriers(self) -> None:
+        names = [DAEMONS[:1]]
+        carriers = Carriers(DAEMONS[0], lambda: names[0])
+        self.assertEqual(carriers.count_share(EndpointId("e"), 8), 8)
+        names[0] = DAEMONS[:2]
+        self.assertEqual(carriers.count_share(EndpointId("e"), 8), 4)
+
+    def test_most_of_the_limit_is_spent_where_few_of_many_daemons_carry_requests(self) -> None:
+        everyone = tuple(DaemonName(f"daemon-{number}") for number in range(195))
+        endpoints = [EndpointId(f"e{number}") for number in range(50)]
+        limit, spendable = 11, 0
+        for own in everyone[::7]:
+            carriers = Carriers(own, lambda: everyone[::7])
+            spendable += sum(carriers.count_share(endpoint, limit) for endpoint in endpoints)
+        self.assertEqual(spendable, limit * len(endpoints))
