Limit bytes that complete no element of a message

Change: bytes fed since the last completed element are limited to 64 KB for answers and to the limit on heads plus 16 KB for requests, and interim heads to 16; the connection is then closed and not used again.

--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -14,6 +14,7 @@
 
 from lycheepin.gateway.incoming import REASONS, IncomingRequest
 from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 
 __all__ = ["CallerConnection", "Listener"]
 
@@ -23,6 +24,9 @@
 MAX_PIPELINED = 4
 # Length of the accept queue; beyond it, SYN packets are dropped and retransmitted late.
 BACKLOG = 1024
+# Limit on an element of a request that has not ended, beyond the limit on its whole head: the size
+# and extension of a chunk, and the parser's reading in slices.
+ELEMENT_MARGIN_BYTES = 16 * 1024
 # Interval in seconds of the checks for timed-out connections.
 TIMEOUT_CHECK_S = 0.25
 
@@ -37,6 +41,7 @@
         self._loop = asyncio.get_running_loop()
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpRequestParser(self)
+        self._progress_limit = ProgressLimit(ELEMENT_MARGIN_BYTES)
         self._parsing = IncomingRequest(self, self._loop.time())
         self._receiving: IncomingRequest | None = None
         self._queue: deque[IncomingRequest] = deque()
@@ -80,16 +85,18 @@
         if self._receiving is None and self.head_since_s is None:
             self.head_since_s = self._loop.time()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.refuse_request(400)
-        except httptools.HttpParserError:
+            self._progress_limit.feed(self._parser.feed_data, data)
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self.refuse_request(400)
+        except EndlessElement:
+            self.refuse_request(431)
 
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a request."""
         self._receiving = None
         self._parsing = IncomingRequest(self, self._loop.time())
+        limits = self._listener.limits
+        self._progress_limit.limit_bytes = limits.max_header_bytes + ELEMENT_MARGIN_BYTES
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser; a long target may arrive in several parts."""
@@ -98,6 +105,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser for each header."""
+        self._progress_limit.record_progress()
         self._count_head_bytes(len(name) + len(value))
         self._parsing.headers.append((name, value))
         self._parsing.headers_by_name[name.lower()] = value
@@ -110,6 +118,7 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser; queues the request, whose body may still be arriving."""
+        self._progress_limit.record_progress()
         if self._closing:
             return
         request = self._parsing
@@ -128,6 +137,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser; buffers a part of the body, or refuses one that is too large."""
+        self._progress_limit.record_progress()
         if self._receiving is None:
             return
         self._body_bytes += len(body)
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -14,6 +14,7 @@
 import httptools
 
 from lycheepin.names import Address
+from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 
 __all__ = ["AnswerHead", "BrokenAnswer", "Connection", "ConnectionPool", "Headers"]
 
@@ -23,6 +24,9 @@
 HIGH_WATER_BYTES = 256 * 1024
 LOW_WATER_BYTES = 64 * 1024
 MAX_HEADER_BYTES = 64 * 1024
+# Limit on an element of an answer that has not ended, and on interim heads before an answer.
+MAX_ELEMENT_BYTES = 64 * 1024
+MAX_INTERIM_HEADS = 16
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_PER_TARGET = 64
 IDLE_LIMIT_S = 4.0
@@ -58,6 +62,8 @@
     def __init__(self) -> None:
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
+        self._progress_limit = ProgressLimit(MAX_ELEMENT_BYTES)
+        self._interim_heads = 0
         self._head: asyncio.Future[AnswerHead] | None = None
         self._headers: Headers = []
         self._header_bytes = 0
@@ -112,12 +118,15 @@
             self._fail("unexpected data outside a request")
             return
         try:
-            self._parser.feed_data(data)
+            self._progress_limit.feed(self._parser.feed_data, data)
         except httptools.HttpParserError as error:
             self._fail(f"malformed HTTP: {error}")
+        except EndlessElement as error:
+            self._fail(str(error))
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Called by the parser; headers of a message after a complete answer are ignored."""
+        self._progress_limit.record_progress()
         if self._extra_message:
             return
         self._header_bytes += len(name) + len(value)
@@ -134,12 +143,16 @@
 
     def on_headers_complete(self) -> None:
         """Called by the parser; interim heads and heads of rejected answers are skipped."""
+        self._progress_limit.record_progress()
         status = self._parser.get_status_code()
         if self._extra_message:
             return
         if _is_interim(status):
             self._headers = []
             self._continue_or_head.set()
+            self._interim_heads += 1
+            if self._interim_heads > MAX_INTERIM_HEADS:
+                self._fail("too many interim heads")
             return
         head = AnswerHead(status, self._headers)
         self._headers = []
@@ -158,6 +171,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Called by the parser; reading pauses above HIGH_WATER_BYTES of buffered body."""
+        self._progress_limit.record_progress()
         if self._extra_message or self._no_body or self._skipping_answer:
             return
         self._chunks.append(body)
@@ -223,6 +237,8 @@
         if not self.reusable or self._transport is None:
             raise BrokenAnswer(self._failure or "connection closed")
         self._parser = httptools.HttpResponseParser(self)
+        self._progress_limit.record_progress()
+        self._interim_heads = 0
         self._head = asyncio.get_running_loop().create_future()
         self._headers = []
         self._header_bytes = 0
