Rest of connections limited after a break, and refusals explained

With 593 endpoints nearly every connection has rested. Connections are used up to 1.5 s before an announced timeout (before: 0.7 of it).

A refusal carries the preferred endpoints with slots, requests, the estimate of others with its age, and the expected answer time; line not_placed, printed by trace.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -10,6 +10,7 @@
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.steering.fleet import Endpoint, EndpointRegistry
+from lycheepin.steering.idle_connections import IdleConnectionLimits
 from lycheepin.steering.progress import NotRun, OutcomeUnknown
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import strip_hop_by_hop
@@ -19,8 +20,10 @@
 # Answer bodies up to this size are forwarded only once they are complete, so that a truncated one
 # never reaches the caller.
 MAX_BUFFERED_ANSWER_BYTES = 1024 * 1024
-# Fraction of an endpoint's announced idle timeout for which a connection is reused: a request that
-# is sent near the timeout could arrive after the endpoint has closed the connection.
+# Time in seconds before an endpoint's announced idle timeout from which a connection is not reused:
+# a request could arrive after the endpoint has closed it. At least IDLE_TIMEOUT_FRACTION of the
+# timeout is used.
+IDLE_TIMEOUT_MARGIN_S = 1.5
 IDLE_TIMEOUT_FRACTION = 0.7
 # Idle time in seconds for which a connection is reused if the endpoint announces no timeout.
 DEFAULT_IDLE_LIMIT_S = 4.0
@@ -52,6 +55,7 @@
         self._registry = registry
         self._pool = pool
         self._header_names = header_names
+        self._idle_limits = IdleConnectionLimits()
 
     async def make_attempt(
         self,
@@ -70,11 +74,13 @@
         record = endpoint.record
         endpoint.start_request(loop.time())
         connection: Connection | None = None
+        started_s = loop.time()
         outcome: AttemptOutcome | None = None
         watchdog: _ResponseWatchdog | None = None
         try:
             async with asyncio.timeout_at(deadline_s) as timer:
-                connection = await self._pool.acquire(record.address, record.port)
+                max_rest_s = self._idle_limits.max_rest_s(record.service, loop.time())
+                connection = await self._pool.acquire(record.address, record.port, max_rest_s)
                 started_s = loop.time()
                 watchdog = _ResponseWatchdog(self._registry, endpoint, timer, may_abandon)
                 outcome = await self._send_request(connection, request, body, endpoint, deadline_s)
@@ -82,6 +88,10 @@
                 self._registry.observe_answer(endpoint, loop.time(), loop.time() - started_s)
         except (BrokenAnswer, OSError, TimeoutError) as error:
             outcome = self._classify_error(connection, error, loop.time() >= deadline_s)
+            if connection is not None and connection.sent and not connection.answer_begun:
+                self._idle_limits.observe_break(
+                    record.service, connection.rested_s, loop.time() - started_s, loop.time()
+                )
         except asyncio.CancelledError:
             if connection is not None:
                 connection.close()
@@ -238,7 +248,8 @@
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
         if name == b"timeout" and number.isdigit():
-            return IDLE_TIMEOUT_FRACTION * int(number)
+            timeout_s = int(number)
+            return max(timeout_s - IDLE_TIMEOUT_MARGIN_S, IDLE_TIMEOUT_FRACTION * timeout_s)
     return DEFAULT_IDLE_LIMIT_S
 
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -13,7 +13,13 @@
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
-from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Dispatcher, Refusal, SelectedEndpoint
+from lycheepin.steering.dispatch import (
+    MIN_RETRY_AFTER_S,
+    Dispatcher,
+    Refusal,
+    SelectedEndpoint,
+    WeighedEndpoint,
+)
 from lycheepin.steering.fleet import Endpoint, EndpointRegistry
 from lycheepin.steering.progress import AttemptResult, EndpointChange, RequestProgress, Served
 from lycheepin.steering.returns import CallerRetries
@@ -147,6 +153,7 @@
                 progress.build_requirements(), spec, loop.time()
             )
             if isinstance(choice, Refusal):
+                self._log_weighed(progress, choice)
                 self._finish_with_error(request, progress, choice.kind, choice.retry_after_s)
                 return
             outcome, result = await self._make_attempt(request, body, progress, choice)
@@ -160,6 +167,21 @@
                 self._finish_with_error(request, progress, outcome.kind, None)
             return
 
+    def _log_weighed(self, progress: RequestProgress, refusal: Refusal) -> None:
+        """Logs what decided that no endpoint gets the next attempt of a request."""
+        now_s = asyncio.get_running_loop().time()
+        waited_s = now_s - progress.arrival_s + progress.waited_s
+        self._log.write(
+            "not_placed",
+            request=progress.identifier,
+            route=progress.route.name,
+            service=progress.service,
+            kind=refusal.kind.value,
+            caller_retry=progress.waited_s > 0.0,
+            target_left_ms=int((progress.route.target_s - waited_s) * MS_PER_S),
+            weighed=[_describe_weighed(endpoint) for endpoint in refusal.weighed],
+        )
+
     async def _make_attempt(
         self,
         request: IncomingRequest,
@@ -310,3 +332,14 @@
         self._metrics.count("answers", outcome)
         seconds = asyncio.get_running_loop().time() - request.arrival_s
         self._metrics.observe(progress.service, seconds)
+
+
+def _describe_weighed(endpoint: WeighedEndpoint) -> str:
+    """Returns a preferred endpoint with its load and expected answer time, for a log line."""
+    age_s = endpoint.report_age_s
+    age = "never" if age_s is None else f"{age_s:.1f}s"
+    return (
+        f"{endpoint.id} slots={endpoint.slots} in_flight={endpoint.in_flight}"
+        f" others={endpoint.other_requests:.1f}@{age}"
+        f" answer_ms={int(endpoint.answer_s * MS_PER_S)}"
+    )
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -26,6 +26,7 @@
     "Dispatcher",
     "Refusal",
     "SelectedEndpoint",
+    "WeighedEndpoint",
 ]
 
 # Number of preferred endpoints of an object. With one, an object depends on a single endpoint; with
@@ -79,12 +80,32 @@
     rank: int
 
 
+@dataclass(frozen=True)
+class WeighedEndpoint:
+    """An endpoint that was considered for a refused attempt, with what decided; times in seconds.
+
+    `other_requests` is the estimate of other daemons' requests there, `report_age_s` the age of the
+    last report that it is based on, and `answer_s` the expected time to an answer.
+    """
+
+    id: EndpointId
+    slots: int
+    in_flight: int
+    other_requests: float
+    report_age_s: float | None
+    answer_s: float
+
+
 @dataclass(frozen=True)
 class Refusal:
-    """No endpoint can take the attempt; capacity is expected in `retry_after_s` seconds."""
+    """No endpoint can take the attempt; capacity is expected in `retry_after_s` seconds.
+
+    `weighed` has the preferred endpoints; it is empty if none was usable, or all were cold.
+    """
 
     kind: ErrorKind
     retry_after_s: float
+    weighed: tuple[WeighedEndpoint, ...] = ()
 
 
 Choice = SelectedEndpoint | Refusal
@@ -224,7 +245,19 @@
             return SelectedEndpoint(endpoint, rank)
         past_deadline = now_s + answer_s > requirements.deadline_s
         kind = ErrorKind.DEADLINE if past_deadline else ErrorKind.NO_CAPACITY
-        return self._refuse(endpoint, kind, requirements.jitter, now_s)
+        weighed = tuple(self._weigh(candidate, now_s) for candidate in preferred)
+        return self._refuse(endpoint, kind, requirements.jitter, weighed, now_s)
+
+    def _weigh(self, endpoint: Endpoint, now_s: float) -> WeighedEndpoint:
+        """Returns what decided about an endpoint, for the log."""
+        return WeighedEndpoint(
+            endpoint.record.id,
+            endpoint.record.slots,
+            endpoint.in_flight,
+            endpoint.other_requests(now_s),
+            endpoint.report_age_s(now_s),
+            self._registry.predict_answer_s(endpoint, now_s),
+        )
 
     def _fastest(self, preferred: Sequence[Endpoint], now_s: float) -> tuple[float, int]:
         """Returns the weighted answer time in seconds and the rank of the fastest endpoint.
@@ -238,7 +271,14 @@
         ]
         return min(weighted)
 
-    def _refuse(self, endpoint: Endpoint, kind: ErrorKind, jitter: float, now_s: float) -> Refusal:
+    def _refuse(
+        self,
+        endpoint: Endpoint,
+        kind: ErrorKind,
+        jitter: float,
+        weighed: tuple[WeighedEndpoint, ...],
+        now_s: float,
+    ) -> Refusal:
         """Returns a refusal whose retry time is the expected time to serve the endpoint's load.
 
         The time is spread by RETRY_JITTER and kept within its bounds.
@@ -247,4 +287,5 @@
         excess = max(0.0, endpoint.load(now_s) + 1 - slots)
         wait_s = self._registry.mean_processing_s(endpoint.record.service) * (1 + excess / slots)
         wait_s *= 1 + RETRY_JITTER * (2 * jitter - 1)
-        return Refusal(kind, min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s)))
+        retry_after_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+        return Refusal(kind, retry_after_s, weighed)
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -15,7 +15,7 @@
 from dataclasses import dataclass, field
 from hashlib import blake2b
 from itertools import islice
-from math import exp
+from math import exp, inf, isfinite
 from typing import Any
 
 from lycheepin.names import Address, EndpointId, RegionName, ServiceName, ZoneName
@@ -102,7 +102,7 @@
     _last_response_s: float = 0.0
     _other_requests: float = 0.0
     _in_flight_at_reports: float = 0.0
-    _other_requests_updated_s: float = 0.0
+    _other_requests_updated_s: float = -inf
     _extra_processing_s: float = 0.0
     _extra_processing_updated_s: float = 0.0
     _rejected_fraction: float = 0.0
@@ -140,6 +140,11 @@
         growth = self.in_flight / max(1.0, self._in_flight_at_reports)
         return decayed * min(MAX_GROWTH, max(1.0, growth))
 
+    def report_age_s(self, now_s: float) -> float | None:
+        """Returns the age of the last load report in seconds; None before the first."""
+        age_s = now_s - self._other_requests_updated_s
+        return age_s if isfinite(age_s) else None
+
     def load(self, now_s: float) -> float:
         """Returns the estimated number of requests that run or wait there."""
         return self.in_flight + self.other_requests(now_s)
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -57,6 +58,8 @@
     """A connection that sends requests and parses the answers with httptools.
 
     It is not reused if `close_after_use` is set, or after it was idle for `idle_limit_s`.
+    `rested_s` is how long it was idle before the present request; 0 for the first one.
+    `answer_begun` is true once any byte has arrived after the present request.
     """
 
     def __init__(self) -> None:
@@ -82,8 +85,10 @@
         self._ends_at_close = False
         self._continue_or_head: asyncio.Event = asyncio.Event()
         self.sent = False
+        self.answer_begun = False
         self.close_after_use = False
         self.idle_since_s = 0.0
+        self.rested_s = 0.0
         self.idle_limit_s = IDLE_LIMIT_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -117,6 +122,7 @@
         if not self._used or self._complete:
             self._fail("unexpected data outside a request")
             return
+        self.answer_begun = True
         try:
             self._progress_limit.feed(self._parser.feed_data, data)
         except httptools.HttpParserError as error:
@@ -250,6 +256,7 @@
         self._ends_at_close = False
         self._continue_or_head.clear()
         self.sent = True
+        self.answer_begun = False
         self._transport.write(head)
 
     async def send_body(self, data: bytes) -> None:
@@ -314,13 +321,21 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[Address, int], deque[Connection]] = {}
 
-    async def acquire(self, address: Address, port: int) -> Connection:
-        """Returns an idle or a new connection; raises OSError or TimeoutError if opening fails."""
+    async def acquire(
+        self, address: Address, port: int, max_rest_s: float = math.inf
+    ) -> Connection:
+        """Returns an idle connection that has rested less than `max_rest_s`, or a new one.
+
+        Raises OSError or TimeoutError if opening fails.
+        """
         idle = self._idle.get((address, port))
         now_s = asyncio.get_running_loop().time()
         while idle:
             connection = idle.pop()
-            if connection.reusable and now_s - connection.idle_since_s < connection.idle_limit_s:
+            connection.rested_s = now_s - connection.idle_since_s
+            if connection.reusable and connection.rested_s < min(
+                max_rest_s, connection.idle_limit_s
+            ):
                 connection.sent = False
                 return connection
             connection.close()
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -54,6 +54,19 @@
         self.assertGreater(choice.retry_after_s, 0.0)
         self.assertLessEqual(choice.retry_after_s, MAX_RETRY_AFTER_S)
 
+    def test_refusal_names_the_preferred_endpoints_and_what_decided(self) -> None:
+        for endpoint in self.registry.all():
+            endpoint.in_flight = 20
+        self._set_processing_time(0.5)
+        next(iter(self.registry.all())).observe_load(-2.0, 9, 0)
+        choice = self.dispatcher.choose_endpoint(build_requirements(), SPEC, 0.0)
+        assert isinstance(choice, Refusal)
+        self.assertEqual(len(choice.weighed), PREFERRED_ENDPOINTS)
+        for weighed in choice.weighed:
+            self.assertEqual((weighed.slots, weighed.in_flight), (4, 20))
+            self.assertIn(weighed.report_age_s, (None, 2.0))
+            self.assertGreater(weighed.answer_s, 0.8)
+
     def test_endpoint_that_rejects_requests_is_replaced_by_the_second_preferred_one(self) -> None:
         self._set_processing_time(0.2)
         first = self._choose().endpoint
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -58,3 +58,26 @@
         )
         self.assertEqual(body, b"mine")
         self.assertFalse(connection.reusable)
+
+
+class PoolRestTest(unittest.IsolatedAsyncioTestCase):
+    async def test_connection_that_rested_longer_than_allowed_is_closed(self) -> None:
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read()
+            writer.close()
+
+        server = await asyncio.start_server(serve, HOST, 0)
+        self.addCleanup(server.close)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(HOST)
+        self.addCleanup(pool.close)
+        first = await pool.acquire(HOST, port)
+        pool.release(HOST, port, first)
+        self.assertIs(await pool.acquire(HOST, port, max_rest_s=60.0), first)
+        self.assertGreater(first.rested_s, 0.0)
+        pool.release(HOST, port, first)
+        second = await pool.acquire(HOST, port, max_rest_s=0.0)
+        self.assertIsNot(second, first)
+        self.assertEqual(second.rested_s, 0.0)
+        self.assertFalse(first.reusable)
+        pool.release(HOST, port, second)
