--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -55,9 +55,9 @@
         self.assertLessEqual(choice.retry_after_s, MAX_RETRY_AFTER_S)
 
     def test_refusal_names_the_preferred_endpoints_and_what_decided(self) -> None:
+        self._set_processing_time(0.5)
         for endpoint in self.registry.all():
             endpoint.in_flight = 20
-        self._set_processing_time(0.5)
         next(iter(self.registry.all())).observe_load(-2.0, 9, 0)
         choice = self.dispatcher.choose_endpoint(build_requirements(), SPEC, 0.0)
         assert isinstance(choice, Refusal)
