A daemon that is not registered yet polls a seed instead of reading the store

Change: watchers are registered daemons; while a region has none, its daemons poll a seed. Test: seven daemons that start together, one listing.

--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -85,6 +85,10 @@
         """Returns all daemons except `own`, sorted by name."""
         return [self._daemons[name] for name in sorted(self._daemons) if name != own]
 
+    def list_region(self, region: RegionName) -> list[DaemonRecord]:
+        """Returns all daemons of a region."""
+        return [record for record in self._daemons.values() if record.region == region]
+
     @property
     def carriers(self) -> tuple[DaemonName, ...]:
         """The daemons that callers in any known zone are sent to, sorted by name."""
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -170,7 +170,7 @@
         while True:
             peer = self._choose_peer()
             if peer is not None:
-                is_standby = self._gateway.record in self._watchers
+                is_standby = self._gateway.record.control in [w.control for w in self._watchers]
                 if await self._poll_peer(peer, STANDBY_WAIT_S if is_standby else PEER_WAIT_S):
                     continue
             if not await self._read_store():
@@ -201,25 +201,34 @@
             self._state.expire_missing_endpoints()
 
     def _choose_peer(self) -> SocketAddress | None:
-        """Returns the watcher to poll, or None if this daemon must read the store itself."""
+        """Returns the daemon to poll, or None if this daemon must read the store itself.
+
+        It is a watcher of this region, or a seed while the region has none.
+        """
         own = self._gateway.record
         if self._replica.revision is None:
             return None
+        watchers = self._find_watchers()
+        seeds = self._gateway.settings.seeds
+        candidates = [record.control for record in watchers] or list(seeds)
         now_s = asyncio.get_running_loop().time()
-        for record in self._find_watchers():
-            if record == own:
+        for candidate in candidates:
+            if candidate == own.control:
                 return None
-            if self._backoff_until_s.get(record.control, 0.0) <= now_s:
-                return record.control
+            if self._backoff_until_s.get(candidate, 0.0) <= now_s:
+                return candidate
         return None
 
     def _find_watchers(self) -> list[DaemonRecord]:
-        """Returns the watchers of this region; computed again after each change of the daemons."""
+        """Returns the watchers of this region; computed again after each change of the daemons.
+
+        A daemon that is not registered yet is no watcher: when all start at once, each would read
+        the store until it knows of the others.
+        """
         directory, own = self._state.directory, self._gateway.record
         if self._watchers_as_of != directory.change_count:
             self._watchers_as_of = directory.change_count
-            in_region = [r for r in directory.list_peers(own.name) if r.region == own.region]
-            self._watchers = choose_watchers([*in_region, own])
+            self._watchers = choose_watchers(directory.list_region(own.region))
         return self._watchers
 
     async def _poll_peer(self, peer: SocketAddress, wait_s: float) -> bool:
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -148,6 +148,18 @@
         for gateway in gateways[1:]:
             await self.wait_until(lambda g=gateway: g.state.table.version == 9)
 
+    async def test_daemons_that_start_together_leave_reading_to_the_seed(self) -> None:
+        await self.add_endpoint("a")
+        control = find_free_address()
+        gateways = [await self.add_gateway("daemon-0", control=control, link_mbps=9.0)]
+        for number in range(1, 7):
+            gateways.append(await self.add_gateway(f"daemon-{number}", seeds=(control,)))
+        await self.wait_until(lambda: all(len(g.directory.names) == 7 for g in gateways))
+        listings = [call for call in self.store.calls if "kv-range" in call]
+        watches = [call for call in self.store.calls if "kv-watch" in call]
+        self.assertLessEqual(len(listings), 2, "one daemon, one item in the page")
+        self.assertLessEqual(len(watches), 2 * len(gateways))
+
     async def test_daemon_gets_its_first_listing_from_a_seed(self) -> None:
         await self.add_endpoint("a")
         control = find_free_address()
