--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -39,6 +39,9 @@
 
 # Pause in seconds after a failed call.
 RETRY_PAUSE_S = 0.25
+# Longest pause in seconds between attempts to write this daemon's entry; each one is a priced call
+# for a store that turns hundreds of daemons away.
+MAX_WRITE_PAUSE_S = 1.0
 # Wait of a watch call, in seconds, after the store has failed or another source was used. A call
 # that is lost in an outage would otherwise delay noticing that the store is back, and followers
 # would take an unconfirmed replica for one that is out of date.
@@ -353,13 +356,16 @@
         Waits for the first listing, so that callers are not sent to a daemon without configuration.
         """
         await self._replica.filled.wait()
+        pause_s = RETRY_PAUSE_S
         while True:
             match self.state:
                 case RegistrationState.REGISTERING:
                     await self._write_entry()
                     if self.state is RegistrationState.REGISTERING:
-                        await asyncio.sleep(RETRY_PAUSE_S)
+                        await asyncio.sleep(pause_s)
+                        pause_s = min(MAX_WRITE_PAUSE_S, 2 * pause_s)
                 case RegistrationState.REGISTERED:
+                    pause_s = RETRY_PAUSE_S
                     await self._keep_entry()
                 case RegistrationState.WITHDRAWING | RegistrationState.WITHDRAWN:
                     return
