--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -11,6 +11,7 @@
 
 import matplotlib
 
+from measure.decisions import measure_decisions
 from measure.policy import measure_policy
 from measure.real import measure_region_loss, measure_surge, measure_upload_memory
 from measure.speed import measure_speed
@@ -41,6 +42,8 @@
 def main() -> int:
     """Runs all measurements, writes build/measure/ and prints tables; returns the exit status."""
     REPORT_FOLDER.mkdir(parents=True, exist_ok=True)
+    decisions = measure_decisions()
+    _print_decisions(decisions)
     speed = measure_speed()
     _print_speed(speed)
     policy = measure_policy()
@@ -51,13 +54,19 @@
         "region_loss": [measure_region_loss(layout) for layout in ("prairie", "cire")],
     }
     _print_real(real)
-    report = {"speed": speed, "policy": policy, "real": real}
+    report = {"decisions": decisions, "speed": speed, "policy": policy, "real": real}
     (REPORT_FOLDER / "measure.json").write_text(json.dumps(report, indent=1), encoding="utf-8")
     _plot_policies(policy)
     _write_html_page(speed, policy)
     return 0
 
 
+def _print_decisions(rows: list[dict[str, Any]]) -> None:
+    """Prints the costs of a choice of an endpoint, a line for each size of the fleet."""
+    for row in rows:
+        print("  ".join(f"{name} {value:.0f}" for name, value in row.items()))
+
+
 def _print_speed(speed: dict[str, Any]) -> None:
     """Prints a line for each round of the speed measurement."""
     for row in speed["rounds"]:
