--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -180,12 +180,13 @@
                 await self._poll_next_peer()
 
     async def _read_seeds(self) -> None:
-        """Gets the first listing from a seed whose replica is fresh, if there is one.
+        """Gets the first listing from a seed whose replica is fresh, when all daemons start.
 
-        Seeds read the store themselves, or none of them would ever have a listing.
+        Seeds read the store themselves, or none of them would ever have a listing. A daemon that
+        starts later, or again, reads the store at once: callers wait for it, and seeds may be down.
         """
         settings = self._gateway.settings
-        if self._gateway.record.control in settings.seeds:
+        if not settings.bootstrap or self._gateway.record.control in settings.seeds:
             return
         first = int.from_bytes(blake2b(self._gateway.record.name.encode(), digest_size=4).digest())
         for number in range(min(SEED_ATTEMPTS, len(settings.seeds))):
@@ -206,14 +207,16 @@
     def _choose_peer(self) -> SocketAddress | None:
         """Returns the daemon to poll, or None if this daemon must read the store itself.
 
-        It is a watcher of this region, or a seed while the region has none.
+        It is a watcher of this region, or at the first start of all daemons a seed while the region
+        has no watcher.
         """
         own = self._gateway.record
         if self._replica.revision is None:
             return None
         watchers = self._find_watchers()
-        seeds = self._gateway.settings.seeds
-        candidates = [record.control for record in watchers] or list(seeds)
+        candidates = [record.control for record in watchers]
+        if not candidates and self._gateway.settings.bootstrap:
+            candidates = list(self._gateway.settings.seeds)
         now_s = asyncio.get_running_loop().time()
         for candidate in candidates:
             if candidate == own.control:
@@ -225,13 +228,16 @@
     def _find_watchers(self) -> list[DaemonRecord]:
         """Returns the watchers of this region; computed again after each change of the daemons.
 
-        A daemon that is not registered yet is no watcher: when all start at once, each would read
-        the store until it knows of the others.
+        At the first start of all daemons, one that is not registered yet is no watcher: each would
+        read the store until it knows of the others.
         """
         directory, own = self._state.directory, self._gateway.record
         if self._watchers_as_of != directory.change_count:
             self._watchers_as_of = directory.change_count
-            self._watchers = choose_watchers(directory.list_region(own.region))
+            in_region = directory.list_region(own.region)
+            if not self._gateway.settings.bootstrap and own not in in_region:
+                in_region.append(own)
+            self._watchers = choose_watchers(in_region)
         return self._watchers
 
     async def _poll_peer(self, peer: SocketAddress, wait_s: float) -> bool:
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -37,7 +37,8 @@
     control addresses of daemons to ask at the start if the store does not answer; some may be
     down. Changes of the configuration, drains and evacuations have to be in force within
     `apply_limit_s`. `link_mbps` is the bandwidth of the VM's link in Mbit/s and `processors` the
-    number of cores that the process may use; 0 if unknown.
+    number of cores that the process may use; 0 if unknown. `bootstrap` is true when all daemons
+    start for the first time.
     """
 
     name: DaemonName
@@ -58,3 +59,4 @@
     terms: BudgetLimits
     link_mbps: float = 0.0
     processors: float = 0.0
+    bootstrap: bool = False
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -1,7 +1,15 @@
+import asyncio
 import json
 
+from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import DaemonName, EndpointId
-from tests.gateway.deployment import DeploymentCase, configuration, find_free_address, request
+from tests.gateway.deployment import (
+    HOST,
+    DeploymentCase,
+    configuration,
+    find_free_address,
+    request,
+)
 
 
 class Configuration(DeploymentCase):
@@ -153,7 +161,9 @@
         control = find_free_address()
         gateways = [await self.add_gateway("daemon-0", control=control, link_mbps=9.0)]
         for number in range(1, 7):
-            gateways.append(await self.add_gateway(f"daemon-{number}", seeds=(control,)))
+            gateways.append(
+                await self.add_gateway(f"daemon-{number}", seeds=(control,), bootstrap=True)
+            )
         await self.wait_until(lambda: all(len(g.directory.names) == 7 for g in gateways))
         listings = [call for call in self.store.calls if "kv-range" in call]
         watches = [call for call in self.store.calls if "kv-watch" in call]
@@ -167,10 +177,20 @@
         await self.wait_until_ready(first)
         await self.wait_until(lambda: first.directory.names)
         self.store.calls.clear()
-        second = await self.add_gateway("daemon-2", seeds=(control, find_free_address()))
+        seeds = (control, find_free_address())
+        second = await self.add_gateway("daemon-2", seeds=seeds, bootstrap=True)
         await self.wait_until_ready(second)
         self.assertFalse([call for call in self.store.calls if "kv-range" in call])
 
+    async def test_daemon_that_restarts_does_not_wait_for_seeds_that_are_down(self) -> None:
+        await self.add_endpoint("a")
+        silent = await asyncio.start_server(lambda *_: asyncio.Event().wait(), HOST, 0)
+        self.addCleanup(silent.close)
+        seed = SocketAddress(HOST, silent.sockets[0].getsockname()[1])
+        gateway = await self.add_gateway(seeds=(seed,))
+        await self.wait_until_ready(gateway)
+        self.assertIsNone(gateway.log.counts.get("peer_refused"))
+
     async def test_daemon_registers_only_after_its_first_listing(self) -> None:
         self.store.override_status = lambda target: 503 if "kv-range" in target else None
         gateway = await self.add_gateway()
