--- a/experiments/model.py
+++ b/experiments/model.py
@@ -26,7 +26,8 @@
     Refusal,
     SelectedEndpoint,
 )
-from lycheepin.steering.fleet import Endpoint, EndpointRecord, EndpointRegistry
+from lycheepin.steering.endpoint import Endpoint, EndpointRecord
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.progress import (
     AttemptResult,
--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -9,7 +9,8 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.incoming import IncomingRequest
-from lycheepin.steering.fleet import Endpoint, EndpointRegistry
+from lycheepin.steering.endpoint import Endpoint
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.idle_connections import IdleConnectionLimits
 from lycheepin.steering.progress import NotRun, OutcomeUnknown
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -8,7 +8,8 @@
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.directory import DaemonRecord, Directory
 from lycheepin.names import DaemonName, EndpointId, ZoneName
-from lycheepin.steering.fleet import EndpointRecord, EndpointRegistry
+from lycheepin.steering.endpoint import EndpointRecord
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.routes import RoutingTable
 
 __all__ = ["DeploymentState"]
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -1,11 +1,10 @@
-"""Synchronization with the platform's store, and registration of this daemon in it."""
+"""Synchronization of a gateway with the platform's store, directly or through other daemons."""
 
 from __future__ import annotations
 
 import asyncio
 from collections.abc import Iterable
 from dataclasses import dataclass
-from enum import Enum
 from hashlib import blake2b
 from typing import Protocol
 
@@ -18,20 +17,14 @@
     Changes,
     HistoryLost,
     Item,
-    Lease,
-    LeaseEnded,
     Listing,
     Store,
-    Stored,
     StoreFailure,
 )
-from lycheepin.names import DaemonName
 from lycheepin.transport.calls import HttpClient
 
 __all__ = [
     "EntryReader",
-    "Registration",
-    "RegistrationState",
     "StoreSynchronizer",
     "SyncTiming",
     "choose_watchers",
@@ -39,9 +32,6 @@
 
 # Pause in seconds after a failed call.
 RETRY_PAUSE_S = 0.25
-# Longest pause in seconds between attempts to write this daemon's entry; each one is a priced call
-# for a store that turns hundreds of daemons away.
-MAX_WRITE_PAUSE_S = 1.0
 # Wait of a watch call, in seconds, after the store has failed or another source was used. A call
 # that is lost in an outage would otherwise delay noticing that the store is back, and followers
 # would take an unconfirmed replica for one that is out of date.
@@ -62,10 +52,6 @@
 PEER_BACKOFF_S = 2.0
 # Interval in seconds of the checks for endpoints that did not reappear after an outage.
 EXPIRY_CHECK_S = 0.1
-# Time to live of a daemon's entry and interval of its renewals, in seconds. Together they stay
-# below the 6 s after which the directory must not return a dead daemon.
-LEASE_TTL_S = 4.0
-RENEWAL_S = 1.5
 # Parts of the time within which changes must be in force: the pause after changes, and what is kept
 # for transfers and processing.
 BATCH_FRACTION = 0.06
@@ -325,108 +311,3 @@
                 self._reader.apply_entry(event)
             else:
                 self._reader.remove_entry(event.key)
-
-
-class RegistrationState(Enum):
-    """Whether this daemon's entry is to be written, kept, removed, or has been removed."""
-
-    REGISTERING = "registering"
-    REGISTERED = "registered"
-    WITHDRAWING = "withdrawing"
-    WITHDRAWN = "withdrawn"
-
-
-class Registration:
-    """Maintains this daemon's entry in the store under a lease until it is withdrawn.
-
-    A write may take effect after its answer is lost or late. It is attached to a lease that is
-    recorded before the write is sent, so ending that lease removes the entry, or makes a write that
-    is still on its way fail.
-    """
-
-    def __init__(
-        self, store: Store, replica: StoreReplica, key: str, value: bytes, name: DaemonName
-    ) -> None:
-        self._store = store
-        self._replica = replica
-        self._key = key
-        self._value = value
-        self._name = name
-        self._lease: Lease | None = None
-        self._entry_removed = asyncio.Event()
-        self.state = RegistrationState.REGISTERING
-
-    async def maintain_entry(self) -> None:
-        """Writes the entry, renews its lease, rewrites it if it was removed; ends on withdrawal.
-
-        Waits for the first listing, so that callers are not sent to a daemon without configuration.
-        """
-        await self._replica.filled.wait()
-        pause_s = RETRY_PAUSE_S
-        while True:
-            match self.state:
-                case RegistrationState.REGISTERING:
-                    await self._write_entry()
-                    if self.state is RegistrationState.REGISTERING:
-                        await asyncio.sleep(pause_s)
-                        pause_s = min(MAX_WRITE_PAUSE_S, 2 * pause_s)
-                case RegistrationState.REGISTERED:
-                    pause_s = RETRY_PAUSE_S
-                    await self._keep_entry()
-                case RegistrationState.WITHDRAWING | RegistrationState.WITHDRAWN:
-                    return
-
-    def observe_removal(self, name: DaemonName) -> None:
-        """Schedules a rewrite of the entry if it is this daemon's entry that was removed."""
-        if name == self._name and self.state is RegistrationState.REGISTERED:
-            self._entry_removed.set()
-
-    async def withdraw(self) -> None:
-        """Removes the entry by ending its lease; repeats the call until the store confirms it."""
-        self.state = RegistrationState.WITHDRAWING
-        while self._lease is not None:
-            if await self._store.end_lease(self._lease) is None:
-                self._lease = None
-            else:
-                await asyncio.sleep(RETRY_PAUSE_S)
-        self.state = RegistrationState.WITHDRAWN
-
-    async def _write_entry(self) -> None:
-        """Writes the entry under the present lease, or under a new one."""
-        if self._lease is None:
-            lease = await self._store.grant_lease(LEASE_TTL_S)
-            if isinstance(lease, StoreFailure):
-                return
-            if self.state is not RegistrationState.REGISTERING:
-                await self._store.end_lease(lease)
-                return
-            self._lease = lease
-        answer = await self._store.put(self._key, self._value, self._lease)
-        if self.state is not RegistrationState.REGISTERING:
-            return
-        match answer:
-            case LeaseEnded():
-                self._lease = None
-            case Stored():
-                self.state = RegistrationState.REGISTERED
-
-    async def _keep_entry(self) -> None:
-        """Renews the lease after RENEWAL_S seconds, unless the entry is removed before."""
-        try:
-            async with asyncio.timeout(RENEWAL_S):
-                await self._entry_removed.wait()
-            self._entry_removed.clear()
-            ended = True
-        except TimeoutError:
-            if self.state is not RegistrationState.REGISTERED:
-                return
-            ended = await self._renew_lease()
-        if ended and self.state is RegistrationState.REGISTERED:
-            self._lease = None
-            self.state = RegistrationState.REGISTERING
-
-    async def _renew_lease(self) -> bool:
-        """Renews the lease; returns whether it has ended."""
-        if self._lease is None:
-            return True
-        return isinstance(await self._store.renew_lease(self._lease), LeaseEnded)
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -25,7 +25,8 @@
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.dispatch import Dispatcher
-from lycheepin.steering.fleet import EndpointRecord, EndpointRegistry
+from lycheepin.steering.endpoint import EndpointRecord
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.routes import RoutingTable
 from lycheepin.transport.connection import ConnectionPool
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -20,7 +20,8 @@
     SelectedEndpoint,
     WeighedEndpoint,
 )
-from lycheepin.steering.fleet import Endpoint, EndpointRegistry
+from lycheepin.steering.endpoint import Endpoint
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.progress import AttemptResult, EndpointChange, RequestProgress, Served
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import Route, RoutingTable, TrafficSplitter
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -15,7 +15,7 @@
 from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
-from lycheepin.steering.fleet import EndpointRecord
+from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.routes import (
     CallerLimits,
     RequestKind,
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -9,9 +9,10 @@
 from typing import Any
 from urllib.parse import parse_qs
 
-from lycheepin.gateway.following import Registration, StoreSynchronizer
+from lycheepin.gateway.following import StoreSynchronizer
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
+from lycheepin.gateway.registration import Registration
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.platform.entries import DAEMON_PREFIX, HEADER_NAMES, encode_daemon
 from lycheepin.platform.metadata import MetadataStore
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -15,7 +15,8 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, RegionName, ServiceName
 from lycheepin.steering.budgets import BudgetLimits, Carriers, ColdStartLimiter
-from lycheepin.steering.fleet import Endpoint, EndpointRegistry
+from lycheepin.steering.endpoint import Endpoint
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.routes import ServiceSpec
 
--- a/lycheepin/steering/placement.py
+++ b/lycheepin/steering/placement.py
@@ -19,7 +19,8 @@
 from heapq import merge, nlargest
 
 from lycheepin.names import EndpointId, RegionName, ServiceName
-from lycheepin.steering.fleet import Endpoint, EndpointRegistry, OrderChange, hash_endpoint
+from lycheepin.steering.endpoint import Endpoint, hash_endpoint
+from lycheepin.steering.fleet import EndpointRegistry, OrderChange
 
 __all__ = ["Placement", "rendezvous_score"]
 
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -14,7 +14,8 @@
 from lycheepin.names import EndpointId, ServiceName
 from lycheepin.steering.budgets import RetryBudgetShare
 from lycheepin.steering.dispatch import AttemptRequirements, Dispatcher
-from lycheepin.steering.fleet import Endpoint, EndpointRegistry
+from lycheepin.steering.endpoint import Endpoint
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.routes import RequestKind, Route
 
 __all__ = [
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -4,8 +4,8 @@
 import unittest
 from collections.abc import Awaitable
 
-from lycheepin.gateway.following import Registration, RegistrationState
 from lycheepin.gateway.mirror import StoreReplica
+from lycheepin.gateway.registration import Registration, RegistrationState
 from lycheepin.gateway.storage import (
     Changes,
     HistoryLost,
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -1,7 +1,8 @@
 import unittest
 
 from lycheepin.names import EndpointId, ZoneName
-from lycheepin.steering.fleet import MAX_EXCLUSION_S, MAX_GROWTH, REREGISTRATION_S
+from lycheepin.steering.endpoint import MAX_EXCLUSION_S, MAX_GROWTH
+from lycheepin.steering.fleet import REREGISTRATION_S
 from tests.steering.builders import SERVICE, build_registry, record
 
 
--- a/tests/steering/test_fleet_growth.py
+++ b/tests/steering/test_fleet_growth.py
@@ -17,7 +17,8 @@
     Refusal,
     SelectedEndpoint,
 )
-from lycheepin.steering.fleet import Endpoint, EndpointRegistry
+from lycheepin.steering.endpoint import Endpoint
+from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import OWN_REGION_WEIGHT, Placement, rendezvous_score
 from lycheepin.steering.routes import ServiceSpec
 from tests.steering.builders import (
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -38,16 +38,22 @@
 PIECE_BYTES = 64 * 1024
 
 
+def open_connection() -> tuple[Connection, Mock]:
+    """Returns a connection that has sent a request, and its transport."""
+    connection = Connection()
+    transport = Mock(spec=asyncio.Transport)
+    transport.is_closing.return_value = False
+    transport.get_write_buffer_size.return_value = 0
+    connection.connection_made(transport)
+    connection.send_request_head(b"GET / HTTP/1.1\r\n\r\n")
+    return connection, transport
+
+
 class EndlessAnswer(unittest.IsolatedAsyncioTestCase):
     async def test_connection_is_closed_after_a_bounded_number_of_bytes(self) -> None:
         for name, (start, repeated) in ENDLESS.items():
             with self.subTest(name):
-                connection = Connection()
-                transport = Mock(spec=asyncio.Transport)
-                transport.is_closing.return_value = False
-                transport.get_write_buffer_size.return_value = 0
-                connection.connection_made(transport)
-                connection.send_request_head(b"GET / HTTP/1.1\r\n\r\n")
+                connection, transport = open_connection()
                 connection.data_received(start)
                 piece = repeated * (PIECE_BYTES // len(repeated))
                 taken = 0
@@ -79,12 +85,7 @@
 
 class LargeAnswer(unittest.IsolatedAsyncioTestCase):
     async def test_large_body_and_head_within_the_limits_are_taken(self) -> None:
-        connection = Connection()
-        transport = Mock(spec=asyncio.Transport)
-        transport.is_closing.return_value = False
-        transport.get_write_buffer_size.return_value = 0
-        connection.connection_made(transport)
-        connection.send_request_head(b"GET / HTTP/1.1\r\n\r\n")
+        connection, _ = open_connection()
         headers = b"".join(b"X-%d: %b\r\n" % (n, b"a" * 1000) for n in range(50))
         body = b"b" * 200_000
         connection.data_received(HEAD + headers + b"Content-Length: 200000\r\n\r\n" + body)
@@ -93,12 +94,7 @@
         self.assertTrue(connection.reusable)
 
     async def test_failed_answer_raises_broken_answer(self) -> None:
-        connection = Connection()
-        transport = Mock(spec=asyncio.Transport)
-        transport.is_closing.return_value = False
-        transport.get_write_buffer_size.return_value = 0
-        connection.connection_made(transport)
-        connection.send_request_head(b"GET / HTTP/1.1\r\n\r\n")
+        connection, _ = open_connection()
         connection.data_received(HEAD + b"X-A: " + b"a" * 200_000)
         with self.assertRaises(BrokenAnswer):
             await connection.head()
