--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -189,13 +189,13 @@
 
     def _is_listed_enough(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether the endpoints that are listed in the store can do without the others."""
-        healthy = [
+        usable = [
             endpoint
             for endpoint in self._registry.endpoints(requirements.service)
-            if now_s >= endpoint.excluded_until_s and self._is_usable(endpoint, requirements)
+            if self._is_usable(endpoint, requirements)
         ]
-        listed = sum(endpoint.missing_since_s is None for endpoint in healthy)
-        return listed >= MIN_LISTED_FRACTION * len(healthy)
+        healthy = self._healthy_endpoints(usable, now_s)
+        return all(endpoint.missing_since_s is None for endpoint in healthy)
 
     def _usable_endpoints(self, requirements: AttemptRequirements) -> list[Endpoint]:
         """Returns the endpoints that may serve an attempt, in the object's order of preference."""
