Log the limits that endpoints name

What callers saw: nothing. Limits are now read, kept for each endpoint, and logged when they change; no decision uses them yet.

Answers may overtake each other, so one to a request from before the limit was named neither raises nor ends it. Malformed limits leave the known one; of repeated ones the lowest counts; those in a 421 belong to another endpoint.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -3,16 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from lycheepin.errors import ErrorKind
+from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.idle_connections import IdleConnectionLimits
 from lycheepin.steering.progress import NotRun, OutcomeUnknown
+from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import strip_hop_by_hop
 
@@ -32,6 +35,8 @@
 CHECK_INTERVAL_S = 0.1
 MS_PER_S = 1000
 _BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
+# A limit on requests per second: digits, with a fraction or without.
+_RATE_LIMIT = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?")
 
 
 @dataclass(frozen=True)
@@ -51,11 +56,18 @@
     """Makes attempts over pooled connections and reports their results to the registry."""
 
     def __init__(
-        self, registry: EndpointRegistry, pool: ConnectionPool, header_names: HeaderNames
+        self,
+        registry: EndpointRegistry,
+        pool: ConnectionPool,
+        header_names: HeaderNames,
+        rate_limits: RateLimits,
+        log: DecisionLog,
     ) -> None:
         self._registry = registry
         self._pool = pool
         self._header_names = header_names
+        self._rate_limits = rate_limits
+        self._log = log
         self._idle_limits = IdleConnectionLimits()
 
     async def make_attempt(
@@ -136,7 +148,8 @@
     ) -> AttemptOutcome:
         """Sends the request and returns the answer, or that the request did not run."""
         identifier = request.header(self._header_names.request_id)
-        left_s = deadline_s - asyncio.get_running_loop().time()
+        sent_s = asyncio.get_running_loop().time()
+        left_s = deadline_s - sent_s
         connection.send_request_head(
             self._build_head(request, body, endpoint, left_s) + body,
             no_body=request.method == b"HEAD",
@@ -147,6 +160,7 @@
         head = await connection.head()
         connection.idle_limit_s = _read_idle_limit_s(head)
         all_slots_used = self._observe_load(endpoint, head)
+        self._observe_rate_limit(endpoint, head, sent_s)
         if head.header(self._header_names.not_run) is not None or head.status == 421:
             await _drain_body(connection)
             kind = ErrorKind.ENDPOINT_REPLACED if head.status == 421 else ErrorKind.ENDPOINT_SHED
@@ -174,6 +188,27 @@
         endpoint.observe_load(now_s, running, waiting)
         return running + waiting >= slots
 
+    def _observe_rate_limit(self, endpoint: Endpoint, head: AnswerHead, sent_s: float) -> None:
+        """Records the limit that an answer names, or that it names none, and logs a change.
+
+        Of several limits the lowest one counts. Answers that another endpoint gave at the same
+        address, or whose limits are all malformed, say nothing.
+        """
+        values = head.headers_named(self._header_names.rate_limit)
+        if head.status == 421:
+            return
+        readable = [float(value) for value in values if _RATE_LIMIT.fullmatch(value.strip())]
+        if len(readable) < len(values):
+            self._log.write("limit_unreadable", endpoint=endpoint.record.id, values=repr(values))
+            if not readable:
+                return
+        identifier = endpoint.record.id
+        before = self._rate_limits.find_limit(identifier)
+        per_s = min(readable, default=None)
+        now_s = asyncio.get_running_loop().time()
+        if self._rate_limits.observe_answer(identifier, per_s, sent_s, now_s):
+            self._log.write("endpoint_limit", endpoint=identifier, per_s=per_s, before=before)
+
     def _build_head(
         self, request: IncomingRequest, body: bytes, endpoint: Endpoint, left_s: float
     ) -> bytes:
--- a/lycheepin/gateway/dialect.py
+++ b/lycheepin/gateway/dialect.py
@@ -17,7 +17,8 @@
 
     Headers of answers: `not_run` states that the endpoint did not run the request, `signature`
     proves that an endpoint made the answer, and `load` reports running requests, waiting requests
-    and slots.
+    and slots. `rate_limit` is the number of requests per second that the endpoint takes from all
+    daemons together.
     """
 
     request_id: bytes
@@ -27,3 +28,4 @@
     not_run: bytes
     signature: bytes
     load: bytes
+    rate_limit: bytes
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -28,6 +28,7 @@
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
+from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.routes import RoutingTable
 from lycheepin.transport.connection import ConnectionPool
 
@@ -84,7 +85,10 @@
         carriers = Carriers(settings.name, lambda: self.directory.carriers)
         self._dispatcher = Dispatcher(self.registry, placement, settings.terms, carriers)
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
-        attempt_runner = AttemptRunner(self.registry, self._pool, platform.header_names)
+        self.rate_limits = RateLimits()
+        attempt_runner = AttemptRunner(
+            self.registry, self._pool, platform.header_names, self.rate_limits, self.log
+        )
         self._handler = RequestHandler(
             platform.header_names,
             self.registry,
@@ -92,6 +96,7 @@
             attempt_runner,
             settings.terms,
             carriers,
+            self.rate_limits,
             self.log,
             self.metrics,
         )
@@ -183,6 +188,7 @@
             "in_flight": float(self._caller_listener.in_flight),
             "caller_connections": float(len(self._caller_listener.connections)),
             "endpoints": float(len(known_endpoints)),
+            "limited_endpoints": float(len(self.rate_limits)),
             "configuration_version": float(self.state.table.version if self.state.table else 0),
             "store_answers": float(self.state.store_answers),
         }
@@ -218,6 +224,7 @@
 
         def release_endpoint(record: EndpointRecord) -> None:
             self._dispatcher.forget_endpoint(record.id)
+            self.rate_limits.forget_endpoint(record.id)
             self._pool.discard(record.address, record.port)
 
         self.registry.on_removed = release_endpoint
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -23,6 +23,7 @@
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.progress import AttemptResult, EndpointChange, RequestProgress, Served
+from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import Route, RoutingTable, TrafficSplitter
 from lycheepin.transport.connection import BrokenAnswer, Headers
@@ -52,6 +53,7 @@
         attempt_runner: AttemptRunner,
         budget_limits: BudgetLimits,
         carriers: Carriers,
+        rate_limits: RateLimits,
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
@@ -65,6 +67,7 @@
         self._caller_retries = CallerRetries()
         self._budget_limits = budget_limits
         self._carriers = carriers
+        self._rate_limits = rate_limits
         self._retry_shares: defaultdict[ServiceName, RetryBudgetShare] = defaultdict(
             lambda: RetryBudgetShare(self._budget_limits)
         )
@@ -214,6 +217,7 @@
             in_flight=endpoint.in_flight,
             others=round(endpoint.other_requests(started_s), 1),
             slots=endpoint.record.slots,
+            limit_per_s=self._rate_limits.find_limit(endpoint.record.id),
             key=(request.header(self._header_names.object_key) or b"").decode("latin-1"),
             took_ms=int((loop.time() - started_s) * MS_PER_S),
             outcome=str(result.status) if isinstance(result, Served) else result.kind.value,
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -57,6 +57,7 @@
     not_run=b"not-executed",
     signature=b"response-signature",
     load=b"server-load",
+    rate_limit=b"server-limit",
 )
 
 _READY, _DRAINING = "ready", "draining"
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -46,7 +46,11 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the first header of a lower-case name, or None."""
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        return next(iter(self.headers_named(name)), None)
+
+    def headers_named(self, name: bytes) -> list[bytes]:
+        """Returns all headers of a lower-case name."""
+        return [value for key, value in self.headers if key.lower() == name]
 
 
 def _accept_any(head: AnswerHead) -> bool:
