Failing test: limited endpoints get more than the limit that they name

Three gateways send 120 requests to two endpoints that name 2 a second; one of them gets 120 in a fraction of a second, where 4 s allow 8 and each daemon's first one.

--- a/tests/gateway/test_rate_limits.py
+++ b/tests/gateway/test_rate_limits.py
@@ -1,3 +1,6 @@
+import asyncio
+from collections.abc import Sequence
+
 from standins.servers import ReceivedRequest, build_answer
 from tests.gateway.deployment import DeploymentCase, request
 
@@ -56,3 +59,40 @@
     async def test_lowest_of_repeated_limits_counts(self) -> None:
         limits = await self._read_limits({"Server_Limit": "900\r\nServer-Limit: 500"})
         self.assertEqual(limits, [500.0])
+
+
+class MoreThanTheNamedLimit(DeploymentCase):
+    """Endpoints got several times the requests a second that they had named as their limit."""
+
+    LIMIT_PER_S = 2.0
+    WINDOW_S = 4.0
+
+    def _count_most_in_window(self, times_s: Sequence[float]) -> int:
+        """Returns the largest number of times within WINDOW_S."""
+        return max(
+            (sum(start <= t < start + self.WINDOW_S for t in times_s) for start in times_s),
+            default=0,
+        )
+
+    async def test_limited_endpoint_gets_more_from_all_daemons_than_it_named(self) -> None:
+        times_s: dict[str, list[float]] = {"a": [], "b": []}
+
+        async def answer_limited(received: ReceivedRequest) -> bytes:
+            name = received.headers["target-instance"]
+            times_s[name].append(asyncio.get_running_loop().time())
+            return build_answer(received, Server_Limit=f"{self.LIMIT_PER_S}")
+
+        for name in times_s:
+            await self.add_endpoint(name, answer_limited)
+        gateways = [await self.add_gateway(f"daemon-{number}") for number in range(3)]
+        for gateway in gateways:
+            await self.wait_until_ready(gateway)
+            await self.wait_until(lambda g=gateway: len(g.directory.names) == len(gateways))
+        for number in range(40):
+            for index, gateway in enumerate(gateways):
+                await self.send_request(gateway, request("/read/1", "GET", f"r{number}-{index}"))
+        # each daemon's first request tells it the limit
+        allowed = self.WINDOW_S * self.LIMIT_PER_S + len(gateways)
+        most = {name: self._count_most_in_window(received) for name, received in times_s.items()}
+        self.assertLessEqual(max(most.values()), allowed, most)
+        self.assertGreater(min(most.values()), 0, most)
