--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -89,6 +89,14 @@
         """Logs that another daemon sent no usable answer."""
         self._log.write("peer_refused", peer=peer, reason=reason)
 
+    def log_outdated_updates(self, peer: str, as_of: int, known: int) -> None:
+        """Logs that another daemon's updates are older than what is known."""
+        self._log.write("updates_outdated", peer=peer, as_of=as_of, known=known)
+
+    def log_lost_history(self, after: int, as_of: int) -> None:
+        """Logs that the store no longer had the changes after a revision and was listed again."""
+        self._log.write("history_lost", after=after, as_of=as_of)
+
     def mark_store_lost(self, reason: str) -> None:
         """Records that the store does not answer; missing endpoints are kept meanwhile."""
         self.registry.observe_store_outage()
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -181,7 +181,7 @@
             if isinstance(answer, str):
                 self._state.log_refused_peer(str(seed), answer)
             elif answer.age_s <= self._timing.max_fresh_age_s:
-                self._apply_peer_updates(answer, 0)
+                self._apply_peer_updates(seed, answer, 0)
                 return
 
     async def run_endpoint_expiry(self) -> None:
@@ -239,10 +239,10 @@
         if isinstance(answer, str):
             self._state.log_refused_peer(str(peer), answer)
             return False
-        self._apply_peer_updates(answer, after)
+        self._apply_peer_updates(peer, answer, after)
         return is_fresh
 
-    def _apply_peer_updates(self, answer: PeerUpdates, after: int) -> None:
+    def _apply_peer_updates(self, peer: SocketAddress, answer: PeerUpdates, after: int) -> None:
         """Applies the updates of a peer after a revision, unless they are older than that."""
         self._store_confirmed = False
         self._replica.confirm_current(asyncio.get_running_loop().time(), answer.age_s)
@@ -253,6 +253,8 @@
                 self._apply_listing(listing)
             case Changes(as_of=as_of) as changes if as_of >= after:
                 self._apply_changes(changes)
+            case Listing(as_of=as_of) | Changes(as_of=as_of):
+                self._state.log_outdated_updates(str(peer), as_of, after)
 
     async def _read_store(self) -> bool:
         """Reads a listing or changes from the store; returns whether it answered."""
@@ -265,6 +267,8 @@
             answer = await self._store.watch("", revision, wait_s)
             if isinstance(answer, HistoryLost):
                 answer = await self._store.list_items("")
+                if isinstance(answer, Listing):
+                    self._state.log_lost_history(revision, answer.as_of)
         if isinstance(answer, StoreFailure):
             self._store_confirmed = False
             self._state.mark_store_lost(answer.reason)
