Failing tests: changes are missed after the store came back from a copy

The stand-in of the store can be restored from a copy: what was written since is gone, revisions and leases are given out again, its era rises by one. Followers then miss a change, and so does a reader whose revision exists again with other content.

--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -2,29 +2,43 @@
 
 It serves keys, revisions, history, watches and leases as the platform's protocol describes them.
 A test can make it unavailable, unresponsive or slow, let it reject some of the calls, lose answers
-or delay writes, and drop its history.
+or delay writes, drop its history, and restore it from a copy.
 """
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import copy
 import json
 from collections import deque
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.listener import Listener
 
-__all__ = ["MetadataStandIn"]
+__all__ = ["MetadataStandIn", "StoreCopy"]
 
 # Items of one page of a listing.
 PAGE_ITEMS = 5
+# Time to live of the leases of a restored copy, in milliseconds.
+RESTORED_LEASE_MS = 4000
 MS_PER_S = 1000
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """What a store held at a revision: its items, its leases and the number of the last lease."""
+
+    items: dict[str, dict[str, Any]]
+    revision: int
+    leases: frozenset[int]
+    last_lease: int
+
+
 class MetadataStandIn:
     """A metadata store that listens on one address.
 
@@ -42,6 +56,7 @@
     def __init__(self) -> None:
         self.items: dict[str, dict[str, Any]] = {}
         self.revision = 1
+        self.era = 1
         self.calls: list[str] = []
         self.unresponsive = False
         self.lose_answers = False
@@ -101,6 +116,31 @@
         for key in [key for key, item in self.items.items() if item["lease"] == lease]:
             self.delete(key)
 
+    def make_copy(self) -> StoreCopy:
+        """Returns a copy from which the store can be restored."""
+        return StoreCopy(
+            copy.deepcopy(self.items), self.revision, frozenset(self._leases), self._last_lease
+        )
+
+    def restore(self, stored: StoreCopy) -> None:
+        """Loses all that was written since a copy; revisions and leases are given out again.
+
+        Connections are closed, as the store was away for a moment.
+        """
+        for timer in self._leases.values():
+            timer.cancel()
+        self.items = copy.deepcopy(stored.items)
+        self.revision = stored.revision
+        self.era += 1
+        self._leases.clear()
+        self._last_lease = stored.last_lease
+        for lease in stored.leases:
+            self._schedule_expiry(lease, RESTORED_LEASE_MS)
+        self._history.clear()
+        self._history_after = self.revision
+        for connection in list(self._listener.connections):
+            connection.abort()
+
     def _append_event(self, event: dict[str, Any]) -> None:
         """Appends an event to the history and notifies the watches."""
         self._history.append(event)
@@ -121,7 +161,7 @@
         await asyncio.sleep(self.execution_delay_s)
         status = self.override_status(target)
         if status is not None:
-            request.respond(status, [], b"")
+            request.respond(status, [self._era_header()], b"")
             return
         path, _, query = target.partition("?")
         if self.write_delay_s and request.method == b"POST":
@@ -134,7 +174,12 @@
             request.abort()
             return
         content = json.dumps(answer).encode()
-        request.respond(code, [(b"Content-Type", b"application/json")], content)
+        headers = [(b"Content-Type", b"application/json"), self._era_header()]
+        request.respond(code, headers, content)
+
+    def _era_header(self) -> tuple[bytes, bytes]:
+        """Returns the header that counts how often the store was restored from a copy."""
+        return b"Store-Era", str(self.era).encode()
 
     def _schedule_write(self, path: str, body: bytes) -> None:
         """Schedules a write for `write_delay_s` later; its call has failed by then."""
@@ -174,11 +219,11 @@
     async def _watch(self, prefix: str, after: int, wait_ms: int) -> tuple[int, Any]:
         """Returns the changes after a revision as soon as there are some, or none after `wait_ms`.
 
-        The status is 410 when the history no longer has all of these changes.
+        The status is 410 when the history does not have all of these changes, or not the revision.
         """
         deadline_s = asyncio.get_running_loop().time() + wait_ms / MS_PER_S
         while True:
-            if after < self._history_after:
+            if after < self._history_after or after > self.revision:
                 return 410, {}
             events = [
                 event
--- /dev/null
+++ b/tests/gateway/test_restored_store.py
@@ -0,0 +1,50 @@
+"""The store comes back from a copy, and revisions and leases are given out again."""
+
+from __future__ import annotations
+
+from lycheepin.gateway.process import Gateway
+from tests.gateway.deployment import DeploymentCase, configuration
+
+
+class RestoredStore(DeploymentCase):
+    async def _start_gateways(self, count: int) -> list[Gateway]:
+        """Starts gateways and waits until each knows all of them; one reads the store."""
+        gateways = [await self.add_gateway(f"daemon-{number}") for number in range(count)]
+        for gateway in gateways:
+            await self.wait_until_ready(gateway)
+        await self._wait_until_known(gateways)
+        return gateways
+
+    async def _wait_until_known(self, gateways: list[Gateway]) -> None:
+        names = tuple(gateway.settings.name for gateway in gateways)
+        await self.wait_until(lambda: all(g.directory.names == names for g in gateways))
+
+    async def _write_configuration(self, version: int) -> None:
+        self.store.put("op/config", configuration(version))
+
+    async def _wait_until_in_force(self, gateways: list[Gateway], version: int) -> None:
+        await self.wait_until(
+            lambda: all(g.state.table and g.state.table.version == version for g in gateways)
+        )
+
+    async def test_followers_miss_a_change_after_the_store_came_back_from_a_copy(self) -> None:
+        gateways = await self._start_gateways(3)
+        stored = self.store.make_copy()
+        for version in range(2, 12):
+            await self._write_configuration(version)
+        await self._wait_until_in_force(gateways, 11)
+        self.store.restore(stored)
+        await self._write_configuration(12)
+        await self._wait_until_in_force(gateways, 12)
+
+    async def test_reader_misses_a_change_under_a_revision_that_was_given_out_again(self) -> None:
+        (gateway,) = await self._start_gateways(1)
+        stored = self.store.make_copy()
+        for version in range(2, 6):
+            await self._write_configuration(version)
+        await self._wait_until_in_force([gateway], 5)
+        self.store.restore(stored)
+        await self._write_configuration(6)
+        while self.store.revision <= 40:
+            self.store.put("other", "x")
+        await self._wait_until_in_force([gateway], 6)
