Era and revision together name a state of the store

What callers saw: routes that were added refused with 404, requests at services that a route had left and at endpoints that had said they leave, 3 to 8 s after the operator's change was acknowledged. Cause: a revision was taken for the identity of a state. After the store has come back from a copy it is lower, and given out again. (a) A reader that has listed the copy named its follower's own, higher revision in its answers, so the follower took itself for up to date until the store had passed that revision. (b) A watch from a revision that exists again is no lost history, and the changes in between were never seen. Class: an identity that is reused. Change: the adapter reads the store's era from each answer, refuses answers and pages of an earlier one, and gives out positions of era and revision, which the replica, the relay and the synchronizer compare. Followers of an earlier era get a listing. Updates that are older than what is known no longer count as a confirmation.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -7,6 +7,7 @@
 
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.directory import DaemonRecord, Directory
+from lycheepin.gateway.storage import Position, era_of, revision_of
 from lycheepin.names import DaemonName, EndpointId, ZoneName
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
@@ -89,13 +90,26 @@
         """Logs that another daemon sent no usable answer."""
         self._log.write("peer_refused", peer=peer, reason=reason)
 
-    def log_outdated_updates(self, peer: str, as_of: int, known: int) -> None:
+    def log_outdated_updates(self, peer: str, as_of: Position, known: Position) -> None:
         """Logs that another daemon's updates are older than what is known."""
-        self._log.write("updates_outdated", peer=peer, as_of=as_of, known=known)
-
-    def log_lost_history(self, after: int, as_of: int) -> None:
-        """Logs that the store no longer had the changes after a revision and was listed again."""
-        self._log.write("history_lost", after=after, as_of=as_of)
+        self._log.write(
+            "updates_outdated",
+            peer=peer,
+            era=era_of(as_of),
+            revision=revision_of(as_of),
+            known_era=era_of(known),
+            known_revision=revision_of(known),
+        )
+
+    def log_lost_history(self, after: Position, as_of: Position) -> None:
+        """Logs that the store did not have the changes after a position and was listed again."""
+        self._log.write(
+            "history_lost",
+            known_era=era_of(after),
+            known_revision=revision_of(after),
+            era=era_of(as_of),
+            revision=revision_of(as_of),
+        )
 
     def mark_store_lost(self, reason: str) -> None:
         """Records that the store does not answer; missing endpoints are kept meanwhile."""
@@ -104,12 +118,12 @@
             self.store_answers = False
             self._log.write("store_lost", reason=reason)
 
-    def mark_store_available(self, revision: int) -> None:
-        """Records that the store answers and is at a revision."""
+    def mark_store_available(self, position: Position) -> None:
+        """Records that the store answers and is at a position."""
         self.registry.observe_store_recovery(self._now_s())
         if not self.store_answers:
             self.store_answers = True
-            self._log.write("store_answers", revision=revision)
+            self._log.write("store_answers", era=era_of(position), revision=revision_of(position))
 
     def expire_missing_endpoints(self) -> None:
         """Removes endpoints whose entries have not reappeared after a store outage."""
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -18,6 +18,7 @@
     HistoryLost,
     Item,
     Listing,
+    Position,
     Store,
     StoreFailure,
 )
@@ -177,11 +178,13 @@
         first = int.from_bytes(blake2b(self._gateway.record.name.encode(), digest_size=4).digest())
         for number in range(min(SEED_ATTEMPTS, len(settings.seeds))):
             seed = settings.seeds[(first + number) % len(settings.seeds)]
-            answer = await poll_peer(self._http_client, seed, settings.store, 0, SEED_WAIT_S)
+            answer = await poll_peer(
+                self._http_client, seed, settings.store, Position(0), SEED_WAIT_S
+            )
             if isinstance(answer, str):
                 self._state.log_refused_peer(str(seed), answer)
             elif answer.age_s <= self._timing.max_fresh_age_s:
-                self._apply_peer_updates(seed, answer, 0)
+                self._apply_peer_updates(seed, answer, Position(0))
                 return
 
     async def run_endpoint_expiry(self) -> None:
@@ -197,7 +200,7 @@
         has no watcher.
         """
         own = self._gateway.record
-        if self._replica.revision is None:
+        if self._replica.position is None:
             return None
         watchers = self._find_watchers()
         candidates = [record.control for record in watchers]
@@ -228,11 +231,15 @@
 
     async def _poll_peer(self, peer: SocketAddress, wait_s: float) -> bool:
         """Polls a peer and applies its updates; returns whether they are fresh."""
-        after = self._replica.revision or 0
+        after = self._replica.position or Position(0)
         answer = await poll_peer(
             self._http_client, peer, self._gateway.settings.store, after, wait_s
         )
-        is_fresh = not isinstance(answer, str) and answer.age_s <= self._timing.max_fresh_age_s
+        is_fresh = (
+            not isinstance(answer, str)
+            and answer.updates.as_of >= after
+            and answer.age_s <= self._timing.max_fresh_age_s
+        )
         if not is_fresh:
             now_s = asyncio.get_running_loop().time()
             self._backoff_until_s[peer] = now_s + PEER_BACKOFF_S
@@ -242,33 +249,37 @@
         self._apply_peer_updates(peer, answer, after)
         return is_fresh
 
-    def _apply_peer_updates(self, peer: SocketAddress, answer: PeerUpdates, after: int) -> None:
-        """Applies the updates of a peer after a revision, unless they are older than that."""
+    def _apply_peer_updates(
+        self, peer: SocketAddress, answer: PeerUpdates, after: Position
+    ) -> None:
+        """Applies the updates of a peer after a position, unless they are older than that."""
         self._store_confirmed = False
+        as_of = answer.updates.as_of
+        if as_of < after:
+            self._state.log_outdated_updates(str(peer), as_of, after)
+            return
         self._replica.confirm_current(asyncio.get_running_loop().time(), answer.age_s)
         if answer.age_s <= self._timing.max_fresh_age_s:
-            self._state.mark_store_available(answer.updates.as_of)
+            self._state.mark_store_available(as_of)
         match answer.updates:
-            case Listing(as_of=as_of) as listing if as_of >= after:
+            case Listing() as listing:
                 self._apply_listing(listing)
-            case Changes(as_of=as_of) as changes if as_of >= after:
+            case Changes() as changes:
                 self._apply_changes(changes)
-            case Listing(as_of=as_of) | Changes(as_of=as_of):
-                self._state.log_outdated_updates(str(peer), as_of, after)
 
     async def _read_store(self) -> bool:
         """Reads a listing or changes from the store; returns whether it answered."""
-        revision = self._replica.revision
-        if revision is None:
+        position = self._replica.position
+        if position is None:
             answer: Listing | Changes | HistoryLost | StoreFailure
             answer = await self._store.list_items("")
         else:
             wait_s = self._timing.watch_wait_s if self._store_confirmed else PROBE_WAIT_S
-            answer = await self._store.watch("", revision, wait_s)
+            answer = await self._store.watch("", position, wait_s)
             if isinstance(answer, HistoryLost):
                 answer = await self._store.list_items("")
                 if isinstance(answer, Listing):
-                    self._state.log_lost_history(revision, answer.as_of)
+                    self._state.log_lost_history(position, answer.as_of)
         if isinstance(answer, StoreFailure):
             self._store_confirmed = False
             self._state.mark_store_lost(answer.reason)
--- a/lycheepin/gateway/mirror.py
+++ b/lycheepin/gateway/mirror.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections import deque
 
-from lycheepin.gateway.storage import Changes, Item, Listing, Removed
+from lycheepin.gateway.storage import Changes, Item, Listing, Position, Removed, era_of
 
 __all__ = ["StoreReplica"]
 
@@ -19,7 +19,7 @@
 
 
 class StoreReplica:
-    """The items of the store at a revision, and the most recent changes.
+    """The items of the store at a position, and the most recent changes.
 
     A follower gets the current value of each key that has changed. A key that changes often is
     therefore sent once, regardless of how far behind the follower is.
@@ -27,11 +27,11 @@
 
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
-        self._changes: deque[tuple[int, str]] = deque()
-        self._complete_after = 0
+        self._changes: deque[tuple[Position, str]] = deque()
+        self._complete_after = Position(0)
         self._changed = asyncio.Event()
         self.filled = asyncio.Event()
-        self.revision: int | None = None
+        self.position: Position | None = None
         self._confirmed_at_s: float | None = None
 
     def confirm_current(self, now_s: float, age_s: float = 0.0) -> None:
@@ -44,72 +44,85 @@
         return now_s - self._confirmed_at_s if self._confirmed_at_s is not None else float("inf")
 
     def replace_items(self, listing: Listing) -> None:
-        """Replaces all items by a complete listing; items that differ count as changed."""
+        """Replaces all items by a complete listing; items that differ count as changed.
+
+        The changes of an earlier era are dropped: some of them may never have happened.
+        """
         items = {item.key: item for item in listing.items}
-        if self.revision is None:
+        if self.position is None or era_of(self.position) != era_of(listing.as_of):
+            self._changes.clear()
             self._complete_after = listing.as_of
         else:
             differing = {key for key in items if items[key] != self._items.get(key)}
             for key in sorted(differing | (self._items.keys() - items.keys())):
                 self._append_change(listing.as_of, key)
         self._items = items
-        self.revision = listing.as_of
+        self.position = listing.as_of
         self.filled.set()
         self._notify_followers()
 
     def apply_changes(self, changes: Changes) -> None:
-        """Applies the changes after the replica's revision."""
+        """Applies the changes after the replica's position."""
         for event in changes.events:
             if isinstance(event, Item):
                 self._items[event.key] = event
             else:
                 self._items.pop(event.key, None)
-            self._append_change(event.revision, event.key)
-        self.revision = changes.as_of
+            self._append_change(event.position, event.key)
+        self.position = changes.as_of
         if changes.events:
             self._notify_followers()
 
-    def read_updates(self, after: int) -> Listing | Changes | None:
-        """Returns the updates for a follower at revision `after`; None before the first listing."""
-        if self.revision is None:
+    def read_updates(self, after: Position) -> Listing | Changes | None:
+        """Returns the updates for a follower at position `after`; None before the first listing.
+
+        For a follower in a later era they are empty, as of this replica's own position.
+        """
+        if self.position is None:
             return None
         if after < self._complete_after:
-            return Listing(tuple(self._items.values()), self.revision)
-        changed: dict[str, int] = {}
-        for revision, key in reversed(self._changes):
-            if revision <= after:
+            return Listing(tuple(self._items.values()), self.position)
+        if era_of(after) > era_of(self.position):
+            return Changes((), self.position)
+        changed: dict[str, Position] = {}
+        for position, key in reversed(self._changes):
+            if position <= after:
                 break
-            changed.setdefault(key, revision)
+            changed.setdefault(key, position)
         events = tuple(
-            self._items.get(key) or Removed(key, revision)
-            for key, revision in reversed(changed.items())
+            self._items.get(key) or Removed(key, position)
+            for key, position in reversed(changed.items())
         )
-        return Changes(events, max(after, self.revision))
+        return Changes(events, max(after, self.position))
 
-    async def wait_for_updates(self, after: int, wait_s: float) -> None:
-        """Waits until there are updates after a revision, but at most `wait_s` seconds."""
+    async def wait_for_updates(self, after: Position, wait_s: float) -> None:
+        """Waits until there are updates after a position, but at most `wait_s` seconds."""
         try:
             async with asyncio.timeout(wait_s):
-                while self.revision is None or not self._has_updates_after(after):
+                while self.position is None or not self._has_updates_after(after):
                     self._changed.clear()
                     await self._changed.wait()
         except TimeoutError:
             return  # the follower gets an empty update
 
-    def _has_updates_after(self, after: int) -> bool:
-        """Returns whether there are updates after a revision."""
-        return after < self._complete_after or bool(self._changes and self._changes[-1][0] > after)
+    def _has_updates_after(self, after: Position) -> bool:
+        """Returns whether there are updates after a position, or it is of a later era."""
+        return (
+            after < self._complete_after
+            or bool(self._changes and self._changes[-1][0] > after)
+            or era_of(after) > era_of(self.position or Position(0))
+        )
 
-    def _append_change(self, revision: int, key: str) -> None:
+    def _append_change(self, position: Position, key: str) -> None:
         """Appends a change, and drops the oldest one beyond the limit.
 
-        A listing may already hold later changes, so revisions are raised to stay in order.
+        A listing may already hold later changes, so positions are raised to stay in order.
         """
         if self._changes:
-            revision = max(revision, self._changes[-1][0])
+            position = max(position, self._changes[-1][0])
         if len(self._changes) == MAX_KEPT_CHANGES:
             self._complete_after, _ = self._changes.popleft()
-        self._changes.append((revision, key))
+        self._changes.append((position, key))
 
     def _notify_followers(self) -> None:
         """Wakes all waiting followers."""
--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -12,7 +12,7 @@
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.gateway.storage import Changes, Item, Listing, Removed
+from lycheepin.gateway.storage import Changes, Item, Listing, Position, Removed
 from lycheepin.generated.messages import RelayAnswer, StoreEntry, StoreNews
 from lycheepin.transport.calls import CallAnswer, CallFailure, HttpClient
 
@@ -45,20 +45,20 @@
 class Relay:
     """Answers the polls of a daemon's followers.
 
-    The last encoded updates are kept, since followers at the same revision get the same ones.
+    The last encoded updates are kept, since followers at the same position get the same ones.
     """
 
     def __init__(self, replica: StoreReplica) -> None:
         self._replica = replica
-        self._encoded_revisions: tuple[int, int] | None = None
+        self._encoded_positions: tuple[Position, Position] | None = None
         self._encoded = b""
 
     async def answer_follower(self, request: IncomingRequest, store: SocketAddress) -> None:
-        """Answers a follower with the updates after its revision, once there are any."""
+        """Answers a follower with the updates after its position, once there are any."""
         loop = asyncio.get_running_loop()
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
         try:
-            after = int((query.get("after") or ["0"])[0])
+            after = Position(int((query.get("after") or ["0"])[0]))
             wait_s = min(MAX_WAIT_S, int((query.get("wait_ms") or ["0"])[0]) / MS_PER_S)
         except ValueError:
             request.respond(400, [], b"after and wait_ms must be whole numbers")
@@ -80,19 +80,23 @@
         )
         request.respond(200, [], serialize(answer, _PROTOCOL_FACTORY))
 
-    def _encode_cached(self, updates: Listing | Changes, after: int) -> bytes:
-        """Returns encoded updates; reuses the last ones if they are for the same revisions."""
-        revisions = (after, updates.as_of)
-        if self._encoded_revisions != revisions:
+    def _encode_cached(self, updates: Listing | Changes, after: Position) -> bytes:
+        """Returns encoded updates; reuses the last ones if they are for the same positions."""
+        positions = (after, updates.as_of)
+        if self._encoded_positions != positions:
             self._encoded = encode_updates(updates)
-            self._encoded_revisions = revisions
+            self._encoded_positions = positions
         return self._encoded
 
 
 async def poll_peer(
-    http_client: HttpClient, peer: SocketAddress, store: SocketAddress, after: int, wait_s: float
+    http_client: HttpClient,
+    peer: SocketAddress,
+    store: SocketAddress,
+    after: Position,
+    wait_s: float,
 ) -> PeerUpdates | str:
-    """Returns a peer's updates after a revision, or the reason why there are none.
+    """Returns a peer's updates after a position, or the reason why there are none.
 
     The transfer time counts as age, since a congested link delays updates.
     """
@@ -129,9 +133,9 @@
         return b""
     entries = [
         (
-            StoreEntry(event.key, event.value, event.revision, False)
+            StoreEntry(event.key, event.value, event.position, False)
             if isinstance(event, Item)
-            else StoreEntry(event.key, b"", event.revision, True)
+            else StoreEntry(event.key, b"", event.position, True)
         )
         for event in events
     ]
@@ -148,16 +152,16 @@
         entries = deserialize(StoreNews(), content, _PROTOCOL_FACTORY).entries
     events = tuple(
         (
-            Removed(entry.key, entry.revision)
+            Removed(entry.key, Position(entry.position))
             if entry.removed
-            else Item(entry.key, _to_bytes(entry.value), entry.revision)
+            else Item(entry.key, _to_bytes(entry.value), Position(entry.position))
         )
         for entry in entries
     )
     if answer.complete:
         items = tuple(event for event in events if isinstance(event, Item))
-        return Listing(items, answer.as_of)
-    return Changes(events, answer.as_of)
+        return Listing(items, Position(answer.as_of))
+    return Changes(events, Position(answer.as_of))
 
 
 def _to_bytes(value: bytes | str) -> bytes:
--- a/lycheepin/gateway/storage.py
+++ b/lycheepin/gateway/storage.py
@@ -1,9 +1,13 @@
-"""Interface to the platform's key-value store: items, changes after a revision, and leases."""
+"""Interface to the platform's key-value store: items, changes after a position, and leases.
+
+The store may come back from a copy: what was written since is lost, and revisions and leases are
+given out again. Its era then rises by one, so only era and revision together name a state.
+"""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Protocol
+from typing import NewType, Protocol
 
 __all__ = [
     "Changes",
@@ -12,49 +16,74 @@
     "Lease",
     "LeaseEnded",
     "Listing",
+    "Position",
     "Removed",
     "Store",
     "StoreFailure",
     "Stored",
+    "era_of",
+    "position_at",
+    "revision_of",
 ]
 
+# A point in the history of the store: the era in the upper bits, the revision in the lower ones. A
+# later point has a higher number, in any era.
+Position = NewType("Position", int)
+
+REVISION_BITS = 40
+
+
+def position_at(era: int, revision: int) -> Position:
+    """Returns the position of a revision in an era."""
+    return Position((era << REVISION_BITS) + revision)
+
+
+def era_of(position: Position) -> int:
+    """Returns the era of a position."""
+    return position >> REVISION_BITS
+
+
+def revision_of(position: Position) -> int:
+    """Returns the revision of a position in its era."""
+    return position & ((1 << REVISION_BITS) - 1)
+
 
 @dataclass(frozen=True)
 class Item:
-    """A key with its value and the revision of its last change."""
+    """A key with its value and the position of its last change."""
 
     key: str
     value: bytes
-    revision: int
+    position: Position
 
 
 @dataclass(frozen=True)
 class Removed:
-    """A key that was removed at a revision."""
+    """A key that was removed at a position."""
 
     key: str
-    revision: int
+    position: Position
 
 
 @dataclass(frozen=True)
 class Listing:
-    """All items of a prefix; changes after revision `as_of` must still be read."""
+    """All items of a prefix; changes after position `as_of` must still be read."""
 
     items: tuple[Item, ...]
-    as_of: int
+    as_of: Position
 
 
 @dataclass(frozen=True)
 class Changes:
-    """The changes after a revision, up to and including revision `as_of`."""
+    """The changes after a position, up to and including position `as_of`."""
 
     events: tuple[Item | Removed, ...]
-    as_of: int
+    as_of: Position
 
 
 @dataclass(frozen=True)
 class HistoryLost:
-    """The store no longer has the changes after a watch's revision; a new listing is needed."""
+    """The store does not have the changes after a watch's position; a new listing is needed."""
 
 
 @dataclass(frozen=True)
@@ -91,9 +120,9 @@
         """Returns all items whose keys start with a prefix."""
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: Position, wait_s: float
     ) -> Changes | HistoryLost | StoreFailure:
-        """Returns the changes after a revision; waits up to `wait_s` seconds for the first one."""
+        """Returns the changes after a position; waits up to `wait_s` seconds for the first one."""
 
     async def grant_lease(self, ttl_s: float) -> Lease | StoreFailure:
         """Returns a new lease with a time to live in seconds."""
--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import json
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
 
@@ -17,9 +18,13 @@
     Lease,
     LeaseEnded,
     Listing,
+    Position,
     Removed,
     Stored,
     StoreFailure,
+    era_of,
+    position_at,
+    revision_of,
 )
 from lycheepin.transport.calls import CallAnswer, CallFailure, HttpClient
 
@@ -30,20 +35,36 @@
 # Time in seconds by which the answer to a watch may exceed the requested waiting time.
 WATCH_GRACE_S = 0.6
 MS_PER_S = 1000
+# Header of all answers: how often the store has come back from a copy.
+ERA_HEADER = b"store-era"
+# Longest era that is read, in digits; a position has room for it.
+MAX_ERA_DIGITS = 6
+
+
+@dataclass(frozen=True)
+class _Answer:
+    """The era of an answer and its decoded body, None if its status says that something is gone."""
+
+    era: int
+    document: Any
 
 
 class MetadataStore:
-    """The store over HTTP, with pooled connections. Each call is sent once, without retries."""
+    """The store over HTTP, with pooled connections. Each call is sent once, without retries.
+
+    Answers of an earlier era than the latest one that was seen count as failures.
+    """
 
     def __init__(self, http_client: HttpClient, address: SocketAddress) -> None:
         self._http_client = http_client
         self.address = address
         self.calls = 0
+        self._era = 0
 
     async def list_items(self, prefix: str) -> Listing | StoreFailure:
         """Returns all items whose keys have a prefix, reading page by page."""
         items: list[Item] = []
-        as_of: int | None = None
+        as_of: Position | None = None
         after = ""
         while True:
             query = f"/api/kv-range?prefix={quote(prefix, safe='/')}"
@@ -53,30 +74,34 @@
             if isinstance(answer, StoreFailure):
                 return answer
             try:
-                page = [_decode_item(item) for item in answer["items"]]
-                as_of = int(answer["asOf"]) if as_of is None else as_of
-                more = bool(answer.get("hasMore"))
+                document = answer.document
+                page = [_decode_item(item, answer.era) for item in document["items"]]
+                position = position_at(answer.era, int(document["asOf"]))
+                more = bool(document.get("hasMore"))
             except DECODE_ERRORS as error:
                 return StoreFailure(f"malformed listing: {error!r}")
+            as_of = position if as_of is None else as_of
+            if era_of(as_of) != answer.era:
+                return StoreFailure("the store came back from a copy between two pages")
             items += page
             if not more or not page:
                 return Listing(tuple(items), as_of)
             after = page[-1].key
 
     async def watch(
-        self, prefix: str, after: int, wait_s: float
+        self, prefix: str, after: Position, wait_s: float
     ) -> Changes | HistoryLost | StoreFailure:
-        """Waits up to `wait_s` for changes after a revision and returns them."""
-        query = f"/api/kv-watch?prefix={quote(prefix, safe='/')}&after={after}"
+        """Waits up to `wait_s` for changes after a position and returns them."""
+        query = f"/api/kv-watch?prefix={quote(prefix, safe='/')}&after={revision_of(after)}"
         query += f"&waitMs={int(wait_s * MS_PER_S)}"
         answer = await self._call("GET", query, timeout_s=wait_s + WATCH_GRACE_S, gone_status=410)
-        if answer is None:
-            return HistoryLost()
         if isinstance(answer, StoreFailure):
             return answer
+        if answer.document is None or answer.era != era_of(after):
+            return HistoryLost()
         try:
-            events = tuple(_decode_event(event) for event in answer["events"])
-            return Changes(events, int(answer["asOf"]))
+            events = tuple(_decode_event(event, answer.era) for event in answer.document["events"])
+            return Changes(events, position_at(answer.era, int(answer.document["asOf"])))
         except DECODE_ERRORS as error:
             return StoreFailure(f"malformed answer to a watch: {error!r}")
 
@@ -86,16 +111,16 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return Lease(int(answer["lease"]), answer["ttlMs"] / MS_PER_S)
+            return Lease(int(answer.document["lease"]), answer.document["ttlMs"] / MS_PER_S)
         except DECODE_ERRORS as error:
             return StoreFailure(f"malformed lease: {error!r}")
 
     async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
         """Renews a lease and returns it; LeaseEnded when the store no longer has it."""
         answer = await self._call("POST", f"/api/kv-keep/{lease.id}", {}, gone_status=404)
-        if answer is None:
-            return LeaseEnded()
-        return answer if isinstance(answer, StoreFailure) else lease
+        if isinstance(answer, StoreFailure):
+            return answer
+        return LeaseEnded() if answer.document is None else lease
 
     async def end_lease(self, lease: Lease) -> StoreFailure | None:
         """Ends a lease, which removes its keys; a lease that has already ended is no failure."""
@@ -108,11 +133,11 @@
         write = {"key": key, "value": text, "lease": lease.id}
         body = {"precondition": [], "writes": [write], "deletes": []}
         answer = await self._call("POST", "/api/kv-txn", body, gone_status=404)
-        if answer is None:
-            return LeaseEnded()
         if isinstance(answer, StoreFailure):
             return answer
-        return Stored(int(answer.get("revision", 0)))
+        if answer.document is None:
+            return LeaseEnded()
+        return Stored(int(answer.document.get("revision", 0)))
 
     async def _call(
         self,
@@ -121,8 +146,8 @@
         body: dict[str, Any] | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
         gone_status: int = 0,
-    ) -> Any:
-        """Returns the decoded body of a 200, None for the status `gone_status`, else a failure."""
+    ) -> _Answer | StoreFailure:
+        """Returns the answer with status 200 or `gone_status`, else a failure."""
         self.calls += 1
         content = json.dumps(body).encode() if body is not None else b""
         headers = (("Content-Type", "application/json"),) if body is not None else ()
@@ -135,20 +160,28 @@
             headers,
             timeout_s,
         )
-        match answer:
-            case CallAnswer(status=200, body=answer_body):
-                try:
-                    return json.loads(answer_body) if answer_body else {}
-                except ValueError as error:
-                    return StoreFailure(f"answer is not JSON: {error!r}")
-            case CallAnswer(status=status):
-                return None if status == gone_status else StoreFailure(f"status {status}")
-            case CallFailure(reason=reason):
-                return StoreFailure(reason)
-        raise AssertionError(answer)
-
-
-def _decode_item(item: Any) -> Item:
+        if isinstance(answer, CallFailure):
+            return StoreFailure(answer.reason)
+        era = self._read_era(answer)
+        if era < self._era:
+            return StoreFailure(f"answer of era {era}, the store is in era {self._era}")
+        self._era = era
+        if answer.status == gone_status:
+            return _Answer(era, None)
+        if answer.status != 200:
+            return StoreFailure(f"status {answer.status}")
+        try:
+            return _Answer(era, json.loads(answer.body) if answer.body else {})
+        except ValueError as error:
+            return StoreFailure(f"answer is not JSON: {error!r}")
+
+    def _read_era(self, answer: CallAnswer) -> int:
+        """Returns the era of an answer, or the latest one that was seen if it names none."""
+        value = answer.header(ERA_HEADER) or b""
+        return int(value) if value.isdigit() and len(value) <= MAX_ERA_DIGITS else self._era
+
+
+def _decode_item(item: Any, era: int) -> Item:
     """Returns an item; raises one of DECODE_ERRORS when it is malformed.
 
     A value that isn't valid base64 becomes an empty one, which no decoder accepts. So only this
@@ -158,11 +191,11 @@
         value = base64.b64decode(item["value"], validate=True)
     except (binascii.Error, TypeError):
         value = b""
-    return Item(str(item["key"]), value, int(item["revision"]))
+    return Item(str(item["key"]), value, position_at(era, int(item["revision"])))
 
 
-def _decode_event(event: Any) -> Item | Removed:
+def _decode_event(event: Any, era: int) -> Item | Removed:
     """Returns a changed or removed item; raises one of DECODE_ERRORS when it is malformed."""
     if event.get("tombstone"):
-        return Removed(str(event["key"]), int(event["revision"]))
-    return _decode_item(event)
+        return Removed(str(event["key"]), position_at(era, int(event["revision"])))
+    return _decode_item(event, era)
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -99,11 +99,11 @@
     10: optional LoanRequest loan_request,
 }
 
-// One key of the platform's store, or its removal at a revision.
+// One key of the platform's store, or its removal; `position` is the era and the revision of its change.
 struct StoreEntry {
     1: string key,
     2: binary value,
-    3: i64 revision,
+    3: i64 position,
     4: bool removed,
 }
 
@@ -112,7 +112,7 @@
     1: list<StoreEntry> entries,
 }
 
-// What a daemon knows of the store: all keys, or the changes after the revision that was asked.
+// What a daemon knows of the store: all keys, or the changes after the position that was asked.
 // `store` names the deployment; `age_ms` is the time since the sender's news came from the store,
 // `waited_ms` the time that it waited for news to tell. `news` is a StoreNews, compressed by zlib;
 // empty without a change.
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -56,7 +56,7 @@
     def __init__(self) -> None:
         self.items: dict[str, dict[str, Any]] = {}
         self.revision = 1
-        self.era = 1
+        self.era = 0
         self.calls: list[str] = []
         self.unresponsive = False
         self.lose_answers = False
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -19,7 +19,7 @@
     poll_peer,
 )
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.gateway.storage import Changes, Item, Listing, Removed
+from lycheepin.gateway.storage import Changes, Item, Listing, Removed, position_at
 from lycheepin.generated.messages import RelayAnswer
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.transport.calls import HttpClient
@@ -90,6 +90,21 @@
             replica.read_updates(10), Changes((make_item("a", 12), make_item("b", 9)), 12)
         )
 
+    async def test_follower_of_an_earlier_era_gets_a_listing_and_one_of_a_later_era_nothing(
+        self,
+    ) -> None:
+        replica = StoreReplica()
+        replica.replace_items(Listing((make_item("a", 3),), position_at(1, 5)))
+        replica.apply_changes(Changes((make_item("b", position_at(1, 90)),), position_at(1, 90)))
+        restored = Listing((make_item("a", position_at(2, 3)),), position_at(2, 6))
+        replica.replace_items(restored)
+        for revision in (0, 4, 7, 90, 91):
+            self.assertEqual(replica.read_updates(position_at(1, revision)), restored)
+        self.assertEqual(replica.read_updates(position_at(2, 6)), Changes((), position_at(2, 6)))
+        ahead = position_at(3, 1)
+        self.assertEqual(replica.read_updates(ahead), Changes((), position_at(2, 6)))
+        await replica.wait_for_updates(ahead, 1e9)
+
     async def test_age_counts_from_the_latest_confirmation(self) -> None:
         replica = StoreReplica()
         self.assertEqual(replica.age_s(5.0), float("inf"))
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -3,12 +3,14 @@
 from lycheepin.gateway.storage import (
     Changes,
     HistoryLost,
+    Item,
     Lease,
     LeaseEnded,
     Listing,
     Removed,
     Stored,
     StoreFailure,
+    position_at,
 )
 from lycheepin.platform.metadata import MetadataStore
 from lycheepin.transport.calls import HttpClient
@@ -66,3 +68,46 @@
         self.stand_in.override_status = lambda target: None
         self.stand_in.lose_answers = True
         self.assertIsInstance(await self.store.list_items(""), StoreFailure)
+
+    async def test_position_of_an_earlier_era_is_lost_history_at_any_revision(self) -> None:
+        for _ in range(8):
+            self.stand_in.put("k/a", 1)
+        stored = self.stand_in.make_copy()
+        for _ in range(8):
+            self.stand_in.put("k/a", 2)
+        before = await self.store.watch("k/", position_at(0, 12), 0.05)
+        assert isinstance(before, Changes)
+        self.stand_in.restore(stored)
+        self.http_client.close()  # the store has closed the connections
+        for _ in range(20):
+            self.stand_in.put("k/b", 3)
+        for revision in (1, 9, 12, before.as_of, 90):
+            with self.subTest(revision):
+                lost = await self.store.watch("k/", position_at(0, revision), 0.05)
+                self.assertEqual(lost, HistoryLost())
+        changes = await self.store.watch("k/", position_at(1, self.stand_in.revision - 1), 0.05)
+        assert isinstance(changes, Changes)
+        self.assertGreater(changes.as_of, before.as_of)
+        assert isinstance(changes.events[0], Item)
+        self.assertEqual(changes.events[0].position, changes.as_of)
+
+    async def test_listing_that_crosses_an_era_and_answers_of_an_earlier_one_are_failures(
+        self,
+    ) -> None:
+        for number in range(12):
+            self.stand_in.put(f"k/{number:02}", number)
+
+        def start_era_after_first_page(target: str) -> int | None:
+            if "after=" in target:
+                self.stand_in.era = 3
+            return None
+
+        self.stand_in.override_status = start_era_after_first_page
+        self.assertIsInstance(await self.store.list_items("k/"), StoreFailure)
+        listing = await self.store.list_items("k/")
+        assert isinstance(listing, Listing)
+        self.assertEqual(listing.as_of, position_at(3, self.stand_in.revision))
+        self.stand_in.override_status = lambda target: None
+        self.stand_in.era = 2
+        self.assertIsInstance(await self.store.list_items("k/"), StoreFailure)
+        self.assertIsInstance(await self.store.watch("k/", listing.as_of, 0.05), StoreFailure)
