What a restored store lacks is kept until it can be written again

What callers would see: endpoints that registered in the lost seconds vanish, and requests reach endpoints of a zone whose evacuation was acknowledged, until operator and endpoints have written again. Cause: an entry that the copy lacks counted as removed, unless the daemon had noticed an outage by a failed call of its own; a follower notices none, and an evacuation was never kept. Class: absence in a listing taken for a removal. Evidence: two new tests over the stand-in failed before (endpoint b gone, south-1 not evacuated), with an unlimited time to register, so they don't depend on the clock; times in tests.steering.test_fleet. Change: the first listing of a new era starts the time to register, for endpoints and evacuations.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -43,12 +43,15 @@
 
     def set_evacuation(self, zone: ZoneName, active: bool) -> None:
         """Starts or ends the evacuation of a zone."""
-        if (zone in self.registry.evacuated_zones) == active:
+        before = zone in self.registry.evacuated_zones
+        if not before and not active:
             return
         services = self.table.services.values() if self.table else ()
         cold_s = max((service.cold_start_s for service in services), default=0.0)
         self.registry.evacuate(zone, active, self._now_s(), cold_s)
-        self._log.write("evacuation", zone=zone, active=active)
+        after = zone in self.registry.evacuated_zones
+        if after != before:
+            self._log.write("evacuation", zone=zone, active=after)
 
     def update_endpoint(self, record: EndpointRecord) -> None:
         """Adds or updates an endpoint."""
@@ -125,8 +128,15 @@
             self.store_answers = True
             self._log.write("store_answers", era=era_of(position), revision=revision_of(position))
 
-    def expire_missing_endpoints(self) -> None:
-        """Removes endpoints whose entries have not reappeared after a store outage."""
+    def observe_restored_store(self, position: Position) -> None:
+        """Records that the store has come back from a copy, in a new era."""
+        self.registry.observe_restored_store(self._now_s())
+        self._log.write("store_restored", era=era_of(position), revision=revision_of(position))
+
+    def expire_missing_entries(self) -> None:
+        """Applies the removal of entries that have not reappeared after a store outage."""
+        for zone in self.registry.expire_evacuations(self._now_s()):
+            self._log.write("evacuation", zone=zone, active=False)
         for endpoint_id in self.registry.expire_missing(self._now_s()):
             self._log.write("endpoint_missing", endpoint=endpoint_id, gone=True)
 
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -21,6 +21,7 @@
     Position,
     Store,
     StoreFailure,
+    era_of,
 )
 from lycheepin.transport.calls import HttpClient
 
@@ -51,7 +52,7 @@
 SEED_ATTEMPTS = 2
 # Time in seconds for which a failed watcher is not polled.
 PEER_BACKOFF_S = 2.0
-# Interval in seconds of the checks for endpoints that did not reappear after an outage.
+# Interval in seconds of the checks for entries that did not reappear after an outage.
 EXPIRY_CHECK_S = 0.1
 # Parts of the time within which changes must be in force: the pause after changes, and what is kept
 # for transfers and processing.
@@ -187,11 +188,11 @@
                 self._apply_peer_updates(seed, answer, Position(0))
                 return
 
-    async def run_endpoint_expiry(self) -> None:
-        """Removes endpoints that did not reappear after an outage; runs indefinitely."""
+    async def run_entry_expiry(self) -> None:
+        """Drops entries that did not reappear after an outage; runs indefinitely."""
         while True:
             await asyncio.sleep(EXPIRY_CHECK_S)
-            self._state.expire_missing_endpoints()
+            self._state.expire_missing_entries()
 
     def _choose_peer(self) -> SocketAddress | None:
         """Returns the daemon to poll, or None if this daemon must read the store itself.
@@ -313,6 +314,9 @@
 
     def _apply_listing(self, listing: Listing) -> None:
         """Applies a complete listing to the replica and the gateway's state."""
+        position = self._replica.position
+        if position is not None and era_of(position) < era_of(listing.as_of):
+            self._state.observe_restored_store(listing.as_of)
         self._replica.replace_items(listing)
         self._reader.remove_missing_entries(listing.items)
         for item in listing.items:
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -60,7 +60,7 @@
         watch = self._watch_settings(gateway)
         return [
             synchronizer.follow_store(),
-            synchronizer.run_endpoint_expiry(),
+            synchronizer.run_entry_expiry(),
             self._registration.maintain_entry(),
             watch,
         ]
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import islice
+from math import inf
 
 from lycheepin.names import EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.endpoint import Endpoint, EndpointRecord
@@ -74,6 +75,8 @@
         self._answers: dict[ServiceName, int] = {}
         self._removals_trusted_after_s = 0.0
         self._store_outage = False
+        self._restored_until_s = -inf
+        self._unlisted_evacuations: dict[ZoneName, float] = {}
         self.on_removed: Callable[[EndpointRecord], None] = lambda record: None
 
     def get(self, endpoint_id: EndpointId) -> Endpoint | None:
@@ -209,6 +212,14 @@
             self._store_outage = False
             self._removals_trusted_after_s = now_s + REREGISTRATION_S
 
+    def observe_restored_store(self, now_s: float) -> None:
+        """Records that the store has come back from a copy, which may lack what it had before.
+
+        For REREGISTRATION_S seconds, what the copy lacks is kept, as after an outage.
+        """
+        self._store_outage = False
+        self._removals_trusted_after_s = self._restored_until_s = now_s + REREGISTRATION_S
+
     def expire_missing(self, now_s: float) -> list[EndpointId]:
         """Removes the endpoints that are still missing; returns their ids.
 
@@ -230,15 +241,29 @@
         """Starts or ends the evacuation of a zone.
 
         At the end its endpoints are cold for `cold_s` seconds, as they served nothing meanwhile.
+        While the store may lack an evacuation that was lost with a copy, it does not end; see
+        `expire_evacuations`.
         """
+        self._unlisted_evacuations.pop(zone, None)
         if active:
             self.evacuated_zones.add(zone)
+        elif now_s < self._restored_until_s:
+            self._unlisted_evacuations[zone] = cold_s
         else:
             self.evacuated_zones.discard(zone)
             for endpoint in self._endpoints.values():
                 if endpoint.record.zone == zone:
                     endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
 
+    def expire_evacuations(self, now_s: float) -> list[ZoneName]:
+        """Ends the evacuations that were not written again in time; returns their zones."""
+        if now_s < self._restored_until_s:
+            return []
+        expired, self._unlisted_evacuations = self._unlisted_evacuations, {}
+        for zone, cold_s in expired.items():
+            self.evacuate(zone, False, now_s, cold_s)
+        return [*expired]
+
     def _remove_endpoint(self, endpoint: Endpoint) -> None:
         """Removes an endpoint and calls `on_removed`."""
         endpoint.removed = True
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import math
+from unittest.mock import patch
+
 from lycheepin.gateway.process import Gateway
+from lycheepin.names import ZoneName
+from lycheepin.steering import fleet
 from tests.gateway.deployment import DeploymentCase, configuration
 
 
@@ -48,3 +53,36 @@
         while self.store.revision <= 40:
             self.store.put("other", "x")
         await self._wait_until_in_force([gateway], 6)
+
+    @patch.object(fleet, "REREGISTRATION_S", math.inf)
+    async def test_endpoint_that_the_copy_lacks_is_removed_before_it_can_register_again(
+        self,
+    ) -> None:
+        await self.add_endpoint("a")
+        gateways = await self._start_gateways(2)
+        stored = self.store.make_copy()
+        endpoint = await self.add_endpoint("b")
+        for gateway in gateways:
+            await self.wait_until_ready(gateway)
+        self.store.restore(stored)
+        await self._write_configuration(2)
+        await self._wait_until_in_force(gateways, 2)
+        for gateway in gateways:
+            self.assertEqual(sorted(e.record.id for e in gateway.registry.all()), ["a", "b"])
+        self.store.put("servers/b", endpoint.build_entry("north-1", sequence=9))
+        await self.wait_until(lambda: not any(g.registry.missing_count for g in gateways))
+
+    @patch.object(fleet, "REREGISTRATION_S", math.inf)
+    async def test_evacuation_that_the_copy_lacks_ends_before_it_can_be_written_again(
+        self,
+    ) -> None:
+        gateways = await self._start_gateways(2)
+        stored = self.store.make_copy()
+        self.store.put("op/evacuate/south-1", {})
+        zone = ZoneName("south-1")
+        await self.wait_until(lambda: all(zone in g.registry.evacuated_zones for g in gateways))
+        self.store.restore(stored)
+        await self._write_configuration(2)
+        await self._wait_until_in_force(gateways, 2)
+        for gateway in gateways:
+            self.assertIn(zone, gateway.registry.evacuated_zones)
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -53,6 +53,26 @@
         registry.register(record("a"), 11.0)
         self.assertEqual(registry.expire_missing(20.0), [])
 
+    def test_what_a_restored_store_lacks_is_kept_until_it_can_be_written_again(self) -> None:
+        registry = build_registry(record("a"), record("b", region="south"))
+        for zone in ("north-1", "south-1"):
+            registry.evacuate(ZoneName(zone), True, 0.0, 3.0)
+        registry.observe_restored_store(10.0)
+        for endpoint_id in ("a", "b"):
+            self.assertFalse(registry.remove(EndpointId(endpoint_id), 10.1))
+        for zone in ("north-1", "south-1"):
+            registry.evacuate(ZoneName(zone), False, 10.1, 3.0)
+        self.assertEqual(registry.expire_evacuations(10.2), [])
+        self.assertEqual(registry.evacuated_zones, {"north-1", "south-1"})
+        registry.register(record("a"), 11.0)
+        registry.evacuate(ZoneName("north-1"), True, 11.0, 3.0)
+        late_s = 10.1 + REREGISTRATION_S
+        self.assertEqual(registry.expire_missing(late_s), ["b"])
+        self.assertEqual(registry.expire_evacuations(late_s), ["south-1"])
+        self.assertEqual(registry.evacuated_zones, {"north-1"})
+        registry.evacuate(ZoneName("north-1"), False, late_s, 3.0)
+        self.assertEqual(registry.evacuated_zones, set())
+
     def test_missing_endpoints_are_kept_during_an_outage(self) -> None:
         registry = build_registry(record("a"))
         registry.observe_store_outage()
