An endpoint that had left or drained stays so when the store comes back from a copy

What callers would see: requests at an endpoint that has left, or later than allowed at one that drains (DRAIN), since the copy lists it as it was before. Cause: each entry in a listing replaced what was known of the endpoint, also an older one. Class: older state taken for newer; after a restart a server that left is in use again. Change: entries carry the sequence of their process. A lower one than is known of the same process changes nothing; processes that were removed before a copy are used again once they have written.

--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -222,6 +222,7 @@
         draining=document["state"] == _DRAINING,
         cold_s=float(cold_ms) / MS_PER_S,
         started_ms=int(document.get("born", 0)),
+        sequence=_require_count(document["sequence"]),
     )
 
 
@@ -239,6 +240,13 @@
     return value
 
 
+def _require_count(value: Any) -> int:
+    """Returns `value` if it is an integer that is not negative; raises ValueError otherwise."""
+    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+        raise ValueError(f"not a count: {value!r}")
+    return value
+
+
 def _decode_daemon(name: str, document: Any) -> DaemonRecord:
     """Returns one daemon, as `encode_daemon` wrote it."""
     return DaemonRecord(
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -40,7 +40,10 @@
 
 @dataclass(frozen=True)
 class EndpointRecord:
-    """An endpoint as registered in the store; `cold_s` is its remaining cold time in seconds."""
+    """An endpoint as registered in the store; `cold_s` is its remaining cold time in seconds.
+
+    `sequence` grows with each entry that the process writes, from its start on.
+    """
 
     id: EndpointId
     service: ServiceName
@@ -52,6 +55,7 @@
     draining: bool
     cold_s: float
     started_ms: int
+    sequence: int = 0
 
 
 @dataclass
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from itertools import islice
@@ -38,6 +38,8 @@
 # Processing times vary little within a service.
 MIN_UNRESPONSIVE_S = 1.0
 UNRESPONSIVE_FACTOR = 3.0
+# Number of removed processes of endpoints that are remembered.
+MAX_REMOVED = 4096
 # Number of changes that are kept for orders of endpoints; an order that is further behind is
 # computed again, which costs about as much as applying them.
 MAX_ORDER_CHANGES = 256
@@ -52,6 +54,8 @@
     present: bool
 
 
+# One process of an endpoint: its id and its start in Unix milliseconds.
+_Process = tuple[EndpointId, int]
 # Endpoints of one service with equal numbers of slots in one region have equal weights in orders.
 _Group = tuple[int, RegionName]
 
@@ -76,6 +80,8 @@
         self._removals_trusted_after_s = 0.0
         self._store_outage = False
         self._restored_until_s = -inf
+        self._removed: OrderedDict[_Process, int] = OrderedDict()
+        self._removed_before_copy: dict[_Process, int] = {}
         self._unlisted_evacuations: dict[ZoneName, float] = {}
         self.on_removed: Callable[[EndpointRecord], None] = lambda record: None
 
@@ -157,9 +163,13 @@
     def register(self, record: EndpointRecord, now_s: float) -> bool:
         """Adds or updates an endpoint; returns whether this changes which endpoints are usable.
 
-        A record with another start time replaces the endpoint: it is another process.
+        A record with another start time replaces the endpoint: it is another process. One that is
+        older than what is known of the process, as from a restored copy of the store, changes
+        nothing.
         """
         current = self._endpoints.get(record.id)
+        if self._had_left(record):
+            return False
         if current is None or current.record.started_ms != record.started_ms:
             if current is not None:
                 self._remove_endpoint(current)
@@ -168,8 +178,11 @@
             self._endpoints[record.id] = endpoint
             self._add_to_orders(endpoint)
             return True
-        changed = current.record.draining != record.draining or current.missing_since_s is not None
+        was_missing = current.missing_since_s is not None
         self._mark_missing(current, None)
+        if record.sequence < current.record.sequence:
+            return was_missing
+        changed = was_missing or current.record.draining != record.draining
         if _group_of(current.record) != _group_of(record):
             self._remove_from_orders(current)
             current.record = record
@@ -215,9 +228,11 @@
     def observe_restored_store(self, now_s: float) -> None:
         """Records that the store has come back from a copy, which may lack what it had before.
 
-        For REREGISTRATION_S seconds, what the copy lacks is kept, as after an outage.
+        For REREGISTRATION_S seconds, what the copy lacks is kept, as after an outage. Processes
+        that were removed before stay removed until they write again.
         """
         self._store_outage = False
+        self._removed_before_copy = dict(self._removed)
         self._removals_trusted_after_s = self._restored_until_s = now_s + REREGISTRATION_S
 
     def expire_missing(self, now_s: float) -> list[EndpointId]:
@@ -267,10 +282,19 @@
     def _remove_endpoint(self, endpoint: Endpoint) -> None:
         """Removes an endpoint and calls `on_removed`."""
         endpoint.removed = True
+        record = endpoint.record
+        self._removed[(record.id, record.started_ms)] = record.sequence
+        if len(self._removed) > MAX_REMOVED:
+            self._removed.popitem(last=False)
         self._mark_missing(endpoint, None)
-        del self._endpoints[endpoint.record.id]
+        del self._endpoints[record.id]
         self._remove_from_orders(endpoint)
-        self.on_removed(endpoint.record)
+        self.on_removed(record)
+
+    def _had_left(self, record: EndpointRecord) -> bool:
+        """Returns whether a record is not newer than the removal of its process before a copy."""
+        sequence = self._removed_before_copy.get((record.id, record.started_ms))
+        return sequence is not None and record.sequence <= sequence
 
     def _mark_missing(self, endpoint: Endpoint, since_s: float | None) -> None:
         """Records since when an endpoint is missing from the store; None if it is listed."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -8,7 +8,7 @@
 from lycheepin.gateway.process import Gateway
 from lycheepin.names import ZoneName
 from lycheepin.steering import fleet
-from tests.gateway.deployment import DeploymentCase, configuration
+from tests.gateway.deployment import DeploymentCase, configuration, request
 
 
 class RestoredStore(DeploymentCase):
@@ -86,3 +86,25 @@
         await self._wait_until_in_force(gateways, 2)
         for gateway in gateways:
             self.assertIn(zone, gateway.registry.evacuated_zones)
+
+    async def test_endpoint_that_had_left_or_drained_is_in_use_again_from_the_copy(self) -> None:
+        names = ("a", "b", "c")
+        endpoints = [await self.add_endpoint(name) for name in names]
+        gateways = await self._start_gateways(2)
+        stored = self.store.make_copy()
+        draining = endpoints[0].build_entry("north-1", state="draining", sequence=8)
+        self.store.put("servers/a", draining)
+        self.store.delete("servers/b")
+        await self.wait_until(
+            lambda: all(len(list(g.registry.all())) == 2 for g in gateways)
+            and all(any(e.record.draining for e in g.registry.all()) for g in gateways)
+        )
+        self.store.restore(stored)
+        await self._write_configuration(2)
+        await self._wait_until_in_force(gateways, 2)
+        for number, gateway in enumerate(gateways * 10):
+            content = request("/order/1", "POST", f"r{number}", Affinity_Key=str(number))
+            self.assertEqual((await self.send_request(gateway, content))[0], 200)
+        self.assertEqual([len(e.received_requests) for e in endpoints], [0, 0, 20])
+        self.store.put("servers/b", endpoints[1].build_entry("north-1", sequence=9))
+        await self.wait_until(lambda: all(len(list(g.registry.all())) == 3 for g in gateways))
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -7,12 +7,14 @@
 from lycheepin.platform.entries import (
     ConfigurationEntry,
     DaemonEntry,
+    EndpointEntry,
     EvacuationEntry,
     UnreadableEntry,
     decode_entry,
     encode_daemon,
 )
 from lycheepin.steering.routes import RequestKind
+from standins.servers import EndpointStandIn
 from tests.gateway.deployment import ZONES, configuration
 
 
@@ -54,6 +56,18 @@
             self._decode("op/evacuate/north-1", {}), EvacuationEntry(ZoneName("north-1"))
         )
 
+    def test_endpoint_entry_needs_a_whole_number_as_its_sequence(self) -> None:
+        entry = EndpointStandIn("10.0.0.1").build_entry("north-1", sequence=4)
+        decoded = self._decode("servers/a", entry)
+        assert isinstance(decoded, EndpointEntry)
+        self.assertEqual(decoded.record.sequence, 4)
+        for value in (None, "4", -1, True, 1.5):
+            self.assertIsInstance(
+                self._decode("servers/a", entry | {"sequence": value}), UnreadableEntry
+            )
+        del entry["sequence"]
+        self.assertIsInstance(self._decode("servers/a", entry), UnreadableEntry)
+
     def test_encoded_daemon_entry_decodes_to_the_same_record(self) -> None:
         address = SocketAddress(Address("10.0.0.1"), 80)
         zone, region = ZoneName("north-1"), RegionName("north")
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -33,6 +33,7 @@
     draining: bool = False,
     cold_s: float = 0.0,
     started_ms: int = 1,
+    sequence: int = 0,
 ) -> EndpointRecord:
     """Returns the record of an endpoint of SERVICE."""
     return EndpointRecord(
@@ -46,6 +47,7 @@
         draining,
         cold_s,
         started_ms,
+        sequence,
     )
 
 
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -73,6 +73,32 @@
         registry.evacuate(ZoneName("north-1"), False, late_s, 3.0)
         self.assertEqual(registry.evacuated_zones, set())
 
+    def test_process_that_left_before_a_copy_is_used_again_only_once_it_has_written(self) -> None:
+        registry = build_registry(record("a", sequence=4), record("b", started_ms=1, sequence=4))
+        registry.remove(EndpointId("a"), 1.0)
+        registry.register(record("a", sequence=4), 1.5)
+        self.assertIsNotNone(registry.get(EndpointId("a")), "without a copy, entries are believed")
+        registry.remove(EndpointId("a"), 2.0)
+        registry.register(record("b", started_ms=2, sequence=1), 2.0)
+        registry.observe_restored_store(3.0)
+        self.assertFalse(registry.register(record("a", sequence=2), 3.1))
+        self.assertFalse(registry.register(record("b", started_ms=1, sequence=4), 3.1))
+        self.assertIsNone(registry.get(EndpointId("a")))
+        present = registry.get(EndpointId("b"))
+        assert present is not None
+        self.assertEqual(present.record.started_ms, 2)
+        self.assertTrue(registry.register(record("a", sequence=5), 3.2))
+        self.assertIsNotNone(registry.get(EndpointId("a")))
+
+    def test_older_entry_of_a_process_does_not_end_its_draining(self) -> None:
+        registry = build_registry(record("a", draining=True, sequence=9))
+        self.assertFalse(registry.register(record("a", sequence=3), 1.0))
+        endpoint = registry.get(EndpointId("a"))
+        assert endpoint is not None
+        self.assertTrue(endpoint.record.draining)
+        self.assertTrue(registry.register(record("a", sequence=10), 2.0))
+        self.assertFalse(endpoint.record.draining)
+
     def test_missing_endpoints_are_kept_during_an_outage(self) -> None:
         registry = build_registry(record("a"))
         registry.observe_store_outage()
