A lease belongs to the era in which it was granted

What callers would see: a daemon that is missing from look-ups for a moment. A store that comes back from a copy gives out the ids of lost leases again. A daemon took such a lease for its own: it renewed and wrote under another daemon's lease, and when it stopped, it ended that lease and with it the other daemon's entry. Cause and class: an identity that is reused, as with revisions. Evidence: new tests failed before (renewed, stored, and the other's entry gone). Change: a lease carries its era; of an earlier era it counts as ended, in each call. A stop renews the lease before it ends it, since the answer to a renewal tells the era and harms nobody. Remains: a store that comes back between that renewal and the end, some milliseconds.

--- a/lycheepin/gateway/registration.py
+++ b/lycheepin/gateway/registration.py
@@ -77,10 +77,13 @@
             self._entry_removed.set()
 
     async def withdraw(self) -> None:
-        """Removes the entry by ending its lease; repeats the call until the store confirms it."""
+        """Removes the entry by ending its lease; repeats the call until the store confirms it.
+
+        The lease is renewed before, which tells whether its id may belong to another daemon.
+        """
         self.state = RegistrationState.WITHDRAWING
         while self._lease is not None:
-            if await self._store.end_lease(self._lease) is None:
+            if await self._end_lease(self._lease):
                 self._lease = None
             else:
                 await asyncio.sleep(RETRY_PAUSE_S)
@@ -120,6 +123,15 @@
             self._lease = None
             self.state = RegistrationState.REGISTERING
 
+    async def _end_lease(self, lease: Lease) -> bool:
+        """Ends a lease that is still this daemon's; returns whether it has ended."""
+        match await self._store.renew_lease(lease):
+            case LeaseEnded():
+                return True
+            case StoreFailure():
+                return False
+        return await self._store.end_lease(lease) is None
+
     async def _renew_lease(self) -> bool:
         """Renews the lease; returns whether it has ended."""
         if self._lease is None:
--- a/lycheepin/gateway/storage.py
+++ b/lycheepin/gateway/storage.py
@@ -88,10 +88,14 @@
 
 @dataclass(frozen=True)
 class Lease:
-    """A lease and its time to live in seconds, counted from the call's arrival at the store."""
+    """A lease and its time to live in seconds, counted from the call's arrival at the store.
+
+    Its id names it in its era only: a store that comes back from a copy may give it out again.
+    """
 
     id: int
     ttl_s: float
+    era: int = 0
 
 
 @dataclass(frozen=True)
--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -111,19 +111,29 @@
         if isinstance(answer, StoreFailure):
             return answer
         try:
-            return Lease(int(answer.document["lease"]), answer.document["ttlMs"] / MS_PER_S)
+            document = answer.document
+            return Lease(int(document["lease"]), document["ttlMs"] / MS_PER_S, answer.era)
         except DECODE_ERRORS as error:
             return StoreFailure(f"malformed lease: {error!r}")
 
     async def renew_lease(self, lease: Lease) -> Lease | LeaseEnded | StoreFailure:
-        """Renews a lease and returns it; LeaseEnded when the store no longer has it."""
+        """Renews a lease and returns it; LeaseEnded when the store no longer has it.
+
+        The leases of earlier eras count as ended: their ids may belong to others by now.
+        """
         answer = await self._call("POST", f"/api/kv-keep/{lease.id}", {}, gone_status=404)
         if isinstance(answer, StoreFailure):
             return answer
-        return LeaseEnded() if answer.document is None else lease
+        ended = answer.document is None or answer.era != lease.era
+        return LeaseEnded() if ended else lease
 
     async def end_lease(self, lease: Lease) -> StoreFailure | None:
-        """Ends a lease, which removes its keys; a lease that has already ended is no failure."""
+        """Ends a lease, which removes its keys; a lease that has already ended is no failure.
+
+        Leases of eras that are known to be over are left to expire.
+        """
+        if lease.era != self._era:
+            return None
         answer = await self._call("DELETE", f"/api/kv-lease-end/{lease.id}", gone_status=404)
         return answer if isinstance(answer, StoreFailure) else None
 
@@ -135,7 +145,7 @@
         answer = await self._call("POST", "/api/kv-txn", body, gone_status=404)
         if isinstance(answer, StoreFailure):
             return answer
-        if answer.document is None:
+        if answer.document is None or answer.era != lease.era:
             return LeaseEnded()
         return Stored(int(answer.document.get("revision", 0)))
 
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -141,6 +141,19 @@
         await self._run(remove_while_withdrawing())
         self.assertEqual(self.store.puts, 1)
 
+    async def test_stop_does_not_end_a_lease_whose_id_belongs_to_another_daemon_by_now(
+        self,
+    ) -> None:
+        async def stop_after_the_lease_was_lost() -> None:
+            while self.registration.state is not RegistrationState.REGISTERED:
+                await asyncio.sleep(0)
+            self.store.leases.clear()
+            self.store.items.clear()
+            await self.registration.withdraw()
+
+        await self._run(stop_after_the_lease_was_lost())
+        self.assertEqual(self.store.ended, [])
+
     async def test_lost_answer_is_followed_by_a_write_under_the_same_lease(self) -> None:
         async def lose_first_answer() -> None:
             self.store.lost_put_answers = 1
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -111,3 +111,25 @@
         self.stand_in.era = 2
         self.assertIsInstance(await self.store.list_items("k/"), StoreFailure)
         self.assertIsInstance(await self.store.watch("k/", listing.as_of, 0.05), StoreFailure)
+
+    async def test_lease_of_an_earlier_era_ends_though_its_number_is_given_out_again(self) -> None:
+        other = MetadataStore(self.http_client, self.store.address)
+        for name in ("renew", "put", "end"):
+            with self.subTest(name):
+                stored = self.stand_in.make_copy()
+                lease = await self.store.grant_lease(4.0)
+                assert isinstance(lease, Lease)
+                self.stand_in.restore(stored)
+                self.http_client.close()  # the store has closed the connections
+                reissued = await other.grant_lease(4.0)
+                assert isinstance(reissued, Lease)
+                self.assertEqual(reissued.id, lease.id)
+                await other.put("k/other", b"", reissued)
+                if name == "renew":
+                    self.assertEqual(await self.store.renew_lease(lease), LeaseEnded())
+                if name == "put":
+                    self.assertEqual(await self.store.put("k/own", b"", lease), LeaseEnded())
+                if name == "end":
+                    self.assertIsInstance(await self.store.list_items(""), Listing)
+                self.assertIsNone(await self.store.end_lease(lease))
+                self.assertIn("k/other", self.stand_in.items)
