Look-ups don't name a stopped daemon again when the store comes back from a copy

What callers would see: addresses of a daemon that has ended, for up to the life of its lease after the store's return; those who connect there wait a second. Cause: the copy lists the daemon's entry as it was before the daemon withdrew it. Class: older state taken for newer. Evidence: the new test over the stand-in failed before (the stopped daemon's address in the look-up). Change: a daemon's entry names the era in which it was written. One of an earlier era than the store's is ignored if its daemon had been removed before; a daemon that still runs writes again in the new era, since its lease counts as ended. Entries of older builds name no era and are believed.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -131,6 +131,7 @@
     def observe_restored_store(self, position: Position) -> None:
         """Records that the store has come back from a copy, in a new era."""
         self.registry.observe_restored_store(self._now_s())
+        self.directory.observe_restored_store(era_of(position))
         self._log.write("store_restored", era=era_of(position), revision=revision_of(position))
 
     def expire_missing_entries(self) -> None:
--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import DaemonName, RegionName, ZoneName
@@ -14,6 +14,8 @@
 MIN_LISTED = 2
 # Maximum number of daemons in a look-up's answer; callers read no more.
 MAX_LISTED = 64
+# Number of removed daemons that are remembered.
+MAX_REMOVED = 4096
 # A link below this fraction of the widest one is narrow. Daemons with narrow links are left out if
 # the others can carry the load, since one large upload delays all other requests on such a link.
 NARROW_LINK_FRACTION = 0.25
@@ -26,7 +28,8 @@
     """The entry of a daemon, as it registered itself.
 
     Callers connect to `front`, other daemons to `control`. `link_mbps` is the bandwidth of the
-    VM's link in Mbit/s and `processors` the number of cores the daemon may use; 0 if unknown.
+    VM's link in Mbit/s and `processors` the number of cores the daemon may use; 0 if unknown. `era`
+    is the era of the store in which the entry was written, None if it doesn't say.
     """
 
     name: DaemonName
@@ -37,6 +40,7 @@
     control: SocketAddress
     link_mbps: float = 0.0
     processors: float = 0.0
+    era: int | None = field(default=None, compare=False)
 
 
 class Directory:
@@ -45,6 +49,9 @@
     def __init__(self) -> None:
         self._daemons: dict[DaemonName, DaemonRecord] = {}
         self._carriers: tuple[DaemonName, ...] | None = None
+        self._removed: dict[DaemonName, int] = {}
+        self._removed_before_copy: dict[DaemonName, int] = {}
+        self._era = 0
         self.change_count = 0
 
     @property
@@ -55,11 +62,14 @@
     def register(self, record: DaemonRecord) -> bool:
         """Adds or updates a daemon; returns whether its record changed.
 
-        A record of an earlier incarnation is ignored.
+        A record of an earlier incarnation is ignored, and one from a restored copy of the store if
+        the daemon had been removed before.
         """
         current = self._daemons.get(record.name)
         if current is not None and current.incarnation > record.incarnation:
             return False
+        if self._had_left(record):
+            return False
         self._daemons[record.name] = record
         if current != record:
             self._observe_change()
@@ -72,10 +82,24 @@
 
     def remove(self, name: DaemonName) -> bool:
         """Removes a daemon; returns whether it was registered."""
-        removed = self._daemons.pop(name, None) is not None
-        if removed:
-            self._observe_change()
-        return removed
+        record = self._daemons.pop(name, None)
+        if record is None:
+            return False
+        self._removed[name] = record.incarnation
+        if len(self._removed) > MAX_REMOVED:
+            del self._removed[next(iter(self._removed))]
+        self._observe_change()
+        return True
+
+    def observe_restored_store(self, era: int) -> None:
+        """Records that the store has come back from a copy, in a new era."""
+        self._era = era
+        self._removed_before_copy = dict(self._removed)
+
+    def _had_left(self, record: DaemonRecord) -> bool:
+        """Returns whether a record of an earlier era is of a daemon that was removed meanwhile."""
+        removed = self._removed_before_copy.get(record.name, -1)
+        return removed >= record.incarnation and record.era is not None and record.era < self._era
 
     def _observe_change(self) -> None:
         """Counts a change, and forgets what was derived from the daemons before it."""
--- a/lycheepin/gateway/registration.py
+++ b/lycheepin/gateway/registration.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 
 from lycheepin.gateway.mirror import StoreReplica
@@ -36,16 +37,21 @@
 
     A write may take effect after its answer is lost or late. It is attached to a lease that is
     recorded before the write is sent, so ending that lease removes the entry, or makes a write that
-    is still on its way fail.
+    is still on its way fail. `encode_entry` returns the entry that is written under a lease.
     """
 
     def __init__(
-        self, store: Store, replica: StoreReplica, key: str, value: bytes, name: DaemonName
+        self,
+        store: Store,
+        replica: StoreReplica,
+        key: str,
+        encode_entry: Callable[[Lease], bytes],
+        name: DaemonName,
     ) -> None:
         self._store = store
         self._replica = replica
         self._key = key
-        self._value = value
+        self._encode_entry = encode_entry
         self._name = name
         self._lease: Lease | None = None
         self._entry_removed = asyncio.Event()
@@ -99,7 +105,7 @@
                 await self._store.end_lease(lease)
                 return
             self._lease = lease
-        answer = await self._store.put(self._key, self._value, self._lease)
+        answer = await self._store.put(self._key, self._encode_entry(self._lease), self._lease)
         if self.state is not RegistrationState.REGISTERING:
             return
         match answer:
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -258,11 +258,12 @@
         SocketAddress.parse(document["control"]),
         float(document.get("link_mbps", 0.0)),
         float(document.get("processors", 0.0)),
+        None if document.get("era") is None else int(document["era"]),
     )
 
 
-def encode_daemon(record: DaemonRecord) -> bytes:
-    """Returns the value of a daemon's entry."""
+def encode_daemon(record: DaemonRecord, era: int | None = None) -> bytes:
+    """Returns the value of a daemon's entry, written in an era of the store."""
     return json.dumps(
         {
             "incarnation": record.incarnation,
@@ -272,5 +273,6 @@
             "control": str(record.control),
             "link_mbps": record.link_mbps,
             "processors": record.processors,
+            "era": era,
         }
     ).encode()
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -13,6 +13,7 @@
 from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
 from lycheepin.gateway.registration import Registration
+from lycheepin.gateway.storage import Lease
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.platform.entries import DAEMON_PREFIX, HEADER_NAMES, encode_daemon
 from lycheepin.platform.metadata import MetadataStore
@@ -54,8 +55,11 @@
         synchronizer = StoreSynchronizer(store, reader, http_client, gateway.replica, gateway)
         record = gateway.record
         key = DAEMON_PREFIX + record.name
-        entry = encode_daemon(record)
-        self._registration = Registration(store, gateway.replica, key, entry, record.name)
+
+        def encode_entry(lease: Lease) -> bytes:
+            return encode_daemon(record, lease.era)
+
+        self._registration = Registration(store, gateway.replica, key, encode_entry, record.name)
         gateway.state.on_daemon_removed = self._registration.observe_removal
         watch = self._watch_settings(gateway)
         return [
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -82,7 +82,7 @@
         self.store = FakeStore()
         replica = StoreReplica()
         replica.replace_items(Listing((), 1))
-        self.registration = Registration(self.store, replica, KEY, b"entry", NAME)
+        self.registration = Registration(self.store, replica, KEY, lambda lease: b"entry", NAME)
 
     async def _run(self, steps: Awaitable[None]) -> None:
         """Runs `steps` beside the task that maintains the entry, which has to end after them."""
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -108,3 +108,17 @@
         self.assertEqual([len(e.received_requests) for e in endpoints], [0, 0, 20])
         self.store.put("servers/b", endpoints[1].build_entry("north-1", sequence=9))
         await self.wait_until(lambda: all(len(list(g.registry.all())) == 3 for g in gateways))
+
+    async def test_stopped_daemon_is_named_by_look_ups_again_from_the_copy(self) -> None:
+        gateways = await self._start_gateways(3)
+        stored = self.store.make_copy()
+        stopped = gateways[2]
+        stopped.stop()
+        remaining = gateways[:2]
+        await self._wait_until_known(remaining)
+        self.store.restore(stored)
+        await self._write_configuration(2)
+        await self._wait_until_in_force(remaining, 2)
+        for gateway in remaining:
+            addresses = gateway.find_addresses(gateway.settings.zone, gateway.settings.region)
+            self.assertNotIn(str(stopped.settings.front), addresses)
