Daemons that a restored store lacks stay in look-ups until they can register again

What callers would see: a region whose daemons registered in the lost seconds is empty in look-ups for up to a second, and followers choose new readers of the store twice. Cause: absence in the first listing of a new era taken for a removal, as with endpoints. Removals that the store confirms after its return are applied at once: the listing and the event are told apart now, also for evacuations. A second test holds that a stop and the end of an evacuation after the return don't wait.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -28,6 +28,7 @@
         self.directory = directory
         self.table: RoutingTable | None = None
         self.store_answers = False
+        self._unlisted_daemons: set[DaemonName] = set()
         self._log = log
         self.on_configuration: Callable[[RoutingTable], None] = lambda table: None
         self.on_daemon_removed: Callable[[DaemonName], None] = lambda name: None
@@ -46,12 +47,20 @@
         before = zone in self.registry.evacuated_zones
         if not before and not active:
             return
+        self.registry.evacuate(zone, active, self._now_s(), self._cold_start_s())
+        if before != active:
+            self._log.write("evacuation", zone=zone, active=active)
+
+    def unlist_evacuation(self, zone: ZoneName) -> None:
+        """Ends an evacuation that a listing lacks, unless it may be written again."""
+        self.registry.unlist_evacuation(zone, self._now_s(), self._cold_start_s())
+        if zone not in self.registry.evacuated_zones:
+            self._log.write("evacuation", zone=zone, active=False)
+
+    def _cold_start_s(self) -> float:
+        """Returns the longest time for which endpoints are cold after a start, in seconds."""
         services = self.table.services.values() if self.table else ()
-        cold_s = max((service.cold_start_s for service in services), default=0.0)
-        self.registry.evacuate(zone, active, self._now_s(), cold_s)
-        after = zone in self.registry.evacuated_zones
-        if after != before:
-            self._log.write("evacuation", zone=zone, active=after)
+        return max((service.cold_start_s for service in services), default=0.0)
 
     def update_endpoint(self, record: EndpointRecord) -> None:
         """Adds or updates an endpoint."""
@@ -76,15 +85,25 @@
 
     def update_daemon(self, record: DaemonRecord) -> None:
         """Adds or updates a daemon."""
+        self._unlisted_daemons.discard(record.name)
         if self.directory.register(record):
             self._log.write("daemon", peer=record.name, incarnation=record.incarnation)
 
     def remove_daemon(self, name: DaemonName) -> None:
-        """Removes a daemon whose entry is missing."""
+        """Removes a daemon whose entry was removed."""
+        self._unlisted_daemons.discard(name)
         if self.directory.remove(name):
             self._log.write("daemon_gone", peer=name)
         self.on_daemon_removed(name)
 
+    def unlist_daemon(self, name: DaemonName) -> None:
+        """Removes a daemon that a listing lacks, at once or when it could register again."""
+        if self.registry.may_lack_entries(self._now_s()):
+            self._unlisted_daemons.add(name)
+            self.on_daemon_removed(name)
+        else:
+            self.remove_daemon(name)
+
     def log_unreadable_entry(self, reason: str) -> None:
         """Logs a malformed entry."""
         self._log.write("entry_unreadable", reason=reason)
@@ -138,6 +157,9 @@
         """Applies the removal of entries that have not reappeared after a store outage."""
         for zone in self.registry.expire_evacuations(self._now_s()):
             self._log.write("evacuation", zone=zone, active=False)
+        if not self.registry.may_lack_entries(self._now_s()):
+            for name in [*self._unlisted_daemons]:
+                self.remove_daemon(name)
         for endpoint_id in self.registry.expire_missing(self._now_s()):
             self._log.write("endpoint_missing", endpoint=endpoint_id, gone=True)
 
--- a/lycheepin/platform/reader.py
+++ b/lycheepin/platform/reader.py
@@ -72,10 +72,10 @@
         for zone in state.registry.evacuated_zones - {
             ZoneName(name) for name in names[EvacuationEntry]
         }:
-            state.set_evacuation(zone, False)
+            state.unlist_evacuation(zone)
         listed = [EndpointId(name) for name in names[EndpointEntry]]
         for endpoint_id in state.registry.missing_from(listed):
             state.remove_endpoint(endpoint_id)
         daemons = {DaemonName(name) for name in names[DaemonEntry]}
         for daemon in state.directory.missing_from(daemons):
-            state.remove_daemon(daemon)
+            state.unlist_daemon(daemon)
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -235,6 +235,10 @@
         self._removed_before_copy = dict(self._removed)
         self._removals_trusted_after_s = self._restored_until_s = now_s + REREGISTRATION_S
 
+    def may_lack_entries(self, now_s: float) -> bool:
+        """Returns whether the store may lack entries that were lost with a copy."""
+        return now_s < self._restored_until_s
+
     def expire_missing(self, now_s: float) -> list[EndpointId]:
         """Removes the endpoints that are still missing; returns their ids.
 
@@ -256,23 +260,26 @@
         """Starts or ends the evacuation of a zone.
 
         At the end its endpoints are cold for `cold_s` seconds, as they served nothing meanwhile.
-        While the store may lack an evacuation that was lost with a copy, it does not end; see
-        `expire_evacuations`.
         """
         self._unlisted_evacuations.pop(zone, None)
         if active:
             self.evacuated_zones.add(zone)
-        elif now_s < self._restored_until_s:
-            self._unlisted_evacuations[zone] = cold_s
         else:
             self.evacuated_zones.discard(zone)
             for endpoint in self._endpoints.values():
                 if endpoint.record.zone == zone:
                     endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
 
+    def unlist_evacuation(self, zone: ZoneName, now_s: float, cold_s: float) -> None:
+        """Ends an evacuation that a listing lacks, at once or when it could be written again."""
+        if self.may_lack_entries(now_s):
+            self._unlisted_evacuations[zone] = cold_s
+        else:
+            self.evacuate(zone, False, now_s, cold_s)
+
     def expire_evacuations(self, now_s: float) -> list[ZoneName]:
         """Ends the evacuations that were not written again in time; returns their zones."""
-        if now_s < self._restored_until_s:
+        if self.may_lack_entries(now_s):
             return []
         expired, self._unlisted_evacuations = self._unlisted_evacuations, {}
         for zone, cold_s in expired.items():
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -122,3 +122,33 @@
         for gateway in remaining:
             addresses = gateway.find_addresses(gateway.settings.zone, gateway.settings.region)
             self.assertNotIn(str(stopped.settings.front), addresses)
+
+    @patch.object(fleet, "REREGISTRATION_S", math.inf)
+    async def test_daemon_that_the_copy_lacks_is_dropped_before_it_can_register_again(
+        self,
+    ) -> None:
+        stored = self.store.make_copy()
+        gateways = await self._start_gateways(3)
+        changes = [gateway.directory.change_count for gateway in gateways]
+        self.store.restore(stored)
+        await self._write_configuration(2)
+        await self._wait_until_in_force(gateways, 2)
+        entries = [f"lycheepin/daemons/{gateway.settings.name}" for gateway in gateways]
+        await self.wait_until(lambda: all(key in self.store.items for key in entries))
+        self.assertEqual([gateway.directory.change_count for gateway in gateways], changes)
+
+    @patch.object(fleet, "REREGISTRATION_S", math.inf)
+    async def test_removal_after_the_return_waits_though_the_store_has_confirmed_it(self) -> None:
+        gateways = await self._start_gateways(3)
+        stored = self.store.make_copy()
+        self.store.put("op/evacuate/south-1", {})
+        zone = ZoneName("south-1")
+        await self.wait_until(lambda: all(zone in g.registry.evacuated_zones for g in gateways))
+        self.store.restore(stored)
+        self.store.put("op/evacuate/south-1", {})
+        await self._write_configuration(2)
+        await self._wait_until_in_force(gateways, 2)
+        self.store.delete("op/evacuate/south-1")
+        gateways[2].stop()
+        await self._wait_until_known(gateways[:2])
+        await self.wait_until(lambda: not any(g.registry.evacuated_zones for g in gateways[:2]))
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -61,7 +61,7 @@
         for endpoint_id in ("a", "b"):
             self.assertFalse(registry.remove(EndpointId(endpoint_id), 10.1))
         for zone in ("north-1", "south-1"):
-            registry.evacuate(ZoneName(zone), False, 10.1, 3.0)
+            registry.unlist_evacuation(ZoneName(zone), 10.1, 3.0)
         self.assertEqual(registry.expire_evacuations(10.2), [])
         self.assertEqual(registry.evacuated_zones, {"north-1", "south-1"})
         registry.register(record("a"), 11.0)
@@ -70,7 +70,7 @@
         self.assertEqual(registry.expire_missing(late_s), ["b"])
         self.assertEqual(registry.expire_evacuations(late_s), ["south-1"])
         self.assertEqual(registry.evacuated_zones, {"north-1"})
-        registry.evacuate(ZoneName("north-1"), False, late_s, 3.0)
+        registry.unlist_evacuation(ZoneName("north-1"), late_s, 3.0)
         self.assertEqual(registry.evacuated_zones, set())
 
     def test_process_that_left_before_a_copy_is_used_again_only_once_it_has_written(self) -> None:
