--- a/models/__main__.py
+++ b/models/__main__.py
@@ -13,7 +13,7 @@
 
 from minicheck import Protocol, check_safety
 
-from models import configuration, escrow, homes
+from models import configuration, escrow, homes, restored_store
 
 ModelBuilder = Callable[[Any], Protocol]
 
@@ -38,6 +38,7 @@
     ),
     Specification("homes", homes.Mutant, (homes.build_model,)),
     Specification("configuration", configuration.Mutant, (configuration.build_model,)),
+    Specification("restored store", restored_store.Mutant, (restored_store.build_model,)),
 )
 # Maximum numbers of states to search; a search that hits one is repeated with the next.
 STATE_LIMITS = (4_000, 40_000, 1_000_000)
--- a/tests/test_models.py
+++ b/tests/test_models.py
@@ -4,7 +4,7 @@
 
 from minicheck import check_safety
 
-from models import configuration, escrow, homes
+from models import configuration, escrow, homes, restored_store
 from models.__main__ import SPECIFICATIONS, check_specification
 
 MAX_TRACE_STEPS = 12
@@ -36,8 +36,8 @@
 
 
 class ModelsTest(unittest.TestCase):
-    def test_homes_and_configuration_hold_in_all_states(self) -> None:
-        for module in (homes, configuration):
+    def test_homes_configuration_and_restored_store_hold_in_all_states(self) -> None:
+        for module in (homes, configuration, restored_store):
             result = check_safety(module.build_model(), max_states=50_000)
             self.assertTrue(result["exhaustive"])
             for name, property_result in result["properties"].items():
@@ -45,7 +45,12 @@
 
     def test_mutants_are_caught_and_code_holds_along_their_traces(self) -> None:
         for specification in SPECIFICATIONS:
-            builders = {"escrow": escrow, "homes": homes, "configuration": configuration}
+            builders = {
+                "escrow": escrow,
+                "homes": homes,
+                "configuration": configuration,
+                "restored store": restored_store,
+            }
             for mutant in specification.mutants:
                 is_fast = specification.name != "escrow" or mutant in FAST_ESCROW_MUTANTS
                 if mutant.name == "NONE" or not is_fast:
