Builds that know revisions only don't follow those that know positions

A follower of the new build that polls a reader of an older one would take its own position for the reader's and miss changes; the other way round, it would be sent a listing with each poll. The path of the polls differs now: both get 404 and read the store instead, while builds are mixed. Evidence: new test; by reading of the older relay (max(after, revision)).

--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -18,7 +18,8 @@
 
 __all__ = ["RELAY_PATH", "Relay", "PeerUpdates", "poll_peer", "decode_updates", "encode_updates"]
 
-RELAY_PATH = "/relay"
+# Path of the polls. Builds that know revisions only use /relay: they don't understand positions.
+RELAY_PATH = "/relay/positions"
 # Longest wait of a follower's call, in seconds; a frozen peer is noticed after this time.
 MAX_WAIT_S = 5.0
 # Time in seconds that an answer may take in addition to its wait.
--- a/tests/gateway/test_directory.py
+++ b/tests/gateway/test_directory.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lycheepin.gateway.directory import DaemonRecord, Directory
+from lycheepin.gateway.relay import RELAY_PATH
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import DaemonName, RegionName, ZoneName
 from tests.gateway.deployment import HOST, DeploymentCase, read_answer, request
@@ -94,9 +95,15 @@
         gateway = await self.add_gateway()
         await self.wait_until_ready(gateway)
         for query in ("after=x", "after=1&wait_ms=soon"):
-            status, _ = await self._get(gateway.settings.control, f"/relay?{query}")
+            status, _ = await self._get(gateway.settings.control, f"{RELAY_PATH}?{query}")
             self.assertEqual(status, 400, query)
 
+    async def test_poll_of_a_build_that_knows_revisions_only_gets_no_positions(self) -> None:
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        status, _ = await self._get(gateway.settings.control, "/relay?after=5&wait_ms=0")
+        self.assertEqual(status, 404)
+
     async def test_ready_and_metrics_are_served_and_other_paths_are_404(self) -> None:
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
