A watch from an era that is over is lost history without a call

The answer to such a watch waits for a change, or the whole waiting time, where the revision exists again. The daemon's other calls may know of the new era by then. Evidence: the test counts the watches that reach the stand-in: two, one before the return and the one that learns of the era.

--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -92,6 +92,8 @@
         self, prefix: str, after: Position, wait_s: float
     ) -> Changes | HistoryLost | StoreFailure:
         """Waits up to `wait_s` for changes after a position and returns them."""
+        if era_of(after) < self._era:
+            return HistoryLost()
         query = f"/api/kv-watch?prefix={quote(prefix, safe='/')}&after={revision_of(after)}"
         query += f"&waitMs={int(wait_s * MS_PER_S)}"
         answer = await self._call("GET", query, timeout_s=wait_s + WATCH_GRACE_S, gone_status=410)
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -85,6 +85,8 @@
             with self.subTest(revision):
                 lost = await self.store.watch("k/", position_at(0, revision), 0.05)
                 self.assertEqual(lost, HistoryLost())
+        watches = [call for call in self.stand_in.calls if "kv-watch" in call]
+        self.assertEqual(len(watches), 2, "an earlier era than the store's is known to be lost")
         changes = await self.store.watch("k/", position_at(1, self.stand_in.revision - 1), 0.05)
         assert isinstance(changes, Changes)
         self.assertGreater(changes.as_of, before.as_of)
