Soak: the store comes back from a copy

Copies are up to two seconds old; operator and endpoints write again, those that have ended don't. Entries of endpoints carry a growing sequence, as the platform's do.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -129,6 +129,23 @@
     deployment.ledger.record_fault("store", deployment.now_s())
 
 
+async def restore_store(deployment: Deployment) -> None:
+    """Lets the store come back from copies that were made a short time before."""
+
+    async def restore() -> None:
+        stored = deployment.store.make_copy()
+        await asyncio.sleep(FAULT_DURATION_S * deployment.random.random())
+        deployment.ledger.record_fault("store", deployment.now_s())
+        deployment.restore_store(stored)
+        await asyncio.sleep(FAULT_DURATION_S)
+        for key in [key for key in deployment.store.items if key.startswith("servers/")]:
+            if key.removeprefix("servers/") not in deployment.endpoints:
+                deployment.store.delete(key)
+        deployment.ledger.record_fault("store", deployment.now_s())
+
+    await _repeat(deployment, restore)
+
+
 async def change_mood(deployment: Deployment) -> None:
     """Makes two endpoints misbehave in the same way for FAULT_DURATION_S."""
     names = deployment.random.sample(sorted(deployment.endpoints), 2)
@@ -231,6 +248,7 @@
     change_settings,
     cut_store,
     fail_store,
+    restore_store,
     change_mood,
     cut_endpoint,
     reset_connections,
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import pathlib
 import random
 import signal
@@ -12,11 +13,12 @@
 
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import Address
+from lycheepin.platform.entries import DAEMON_PREFIX
 from soak.daemons import BOUNDS, CONTROL_PORT, Daemon
 from soak.ledger import RequestLedger
 from soak.proxy import Proxy
 from standins.messages import HOST, configuration, find_free_address
-from standins.metadata import MetadataStandIn
+from standins.metadata import MetadataStandIn, StoreCopy
 from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
 
 __all__ = ["DESK", "FILES", "LARGE_ROUTE_COUNT", "ROUTE_TIMEOUT_S", "ZONES", "Deployment"]
@@ -76,6 +78,7 @@
         self._daemon_count = daemon_count
         self._probe_versions: list[int] = []
         self._started_endpoint_count = 0
+        self._entry_count = 0
         self._network_lock: socket.socket | None = None
 
     @staticmethod
@@ -187,10 +190,31 @@
         """Writes an endpoint's entry to the store; `changes` are additional or different fields."""
         zone = sorted(ZONES)[endpoint.start_number % len(ZONES)]
         address = str(endpoint.proxy.address)
-        values = {"address": address, "born": endpoint.start_number, **changes}
+        self._entry_count += 1
+        values = {
+            "address": address,
+            "born": endpoint.start_number,
+            "sequence": self._entry_count,
+            **changes,
+        }
         entry = endpoint.stand_in.build_entry(zone, endpoint.service, **values)
         self.store.put(f"servers/{endpoint.name}", entry)
 
+    def restore_store(self, stored: StoreCopy) -> None:
+        """Restores the store from a copy; operator and endpoints write again what they wrote.
+
+        Entries of endpoints that have ended meanwhile stay as they are in the copy.
+        """
+        written = {
+            key: item for key, item in self.store.items.items() if not key.startswith(DAEMON_PREFIX)
+        }
+        self.store.restore(stored)
+        for key, item in written.items():
+            self.store.put(key, base64.b64decode(item["value"]))
+        for key in stored.items:
+            if key.startswith("op/") and key not in written:
+                self.store.delete(key)
+
     def remove_endpoint(self, endpoint: Endpoint, close: bool = True) -> None:
         """Removes an endpoint; with `close`, also stops it, which frees its address."""
         self.endpoints.pop(endpoint.name, None)
