--- a/experiments/model.py
+++ b/experiments/model.py
@@ -13,7 +13,7 @@
 import heapq
 import random
 from collections import OrderedDict, deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from lycheepin.errors import ErrorKind
@@ -133,8 +133,10 @@
 class EndpointModel:
     """One endpoint.
 
-    `slow` is a factor on its processing times, which are also COLD_FACTOR times as long until
-    `cold_until_s`; while `silent` it accepts requests and never answers them.
+    `limit_per_s` is the number of requests per second that it names as what it takes from all
+    daemons, and `arrivals` has the times at which it got a request, with the daemon. `slow` is a
+    factor on its processing times, which are also COLD_FACTOR times as long until `cold_until_s`;
+    while `silent` it accepts requests and never answers them.
     """
 
     def __init__(self, scheduler: EventScheduler, record: EndpointRecord) -> None:
@@ -143,6 +145,8 @@
         self.silent = False
         self.cold_until_s = 0.0
         self.jobs_started = 0
+        self.limit_per_s: float | None = None
+        self.arrivals: list[tuple[float, DaemonName]] = []
         self._scheduler = scheduler
         self._running = 0
         self._waiting: deque[_Job] = deque()
@@ -201,7 +205,7 @@
         simulation: Simulation,
         name: str,
         zone: str,
-        daemon_names: Sequence[str],
+        daemon_regions: Mapping[DaemonName, RegionName],
         limits: BudgetLimits,
     ) -> None:
         layout = simulation.layout
@@ -209,10 +213,14 @@
         self.region = layout.get_region(zone)
         self.registry = EndpointRegistry()
         placement = Placement(self.registry, self.region)
-        names = tuple(DaemonName(other) for other in daemon_names)
-        self._carriers = Carriers(DaemonName(name), lambda: names)
-        rate_limits = RateLimits(DaemonName(name), self._carriers)
-        self.dispatcher = Dispatcher(self.registry, placement, limits, self._carriers, rate_limits)
+        names = tuple(daemon_regions)
+        self.name = DaemonName(name)
+        self._carriers = Carriers(self.name, lambda: names, daemon_regions.get)
+        self.limits_known_s: dict[EndpointId, float] = {}
+        self._rate_limits = RateLimits(self.name, self._carriers)
+        self.dispatcher = Dispatcher(
+            self.registry, placement, limits, self._carriers, self._rate_limits
+        )
         self.choose_endpoint: Chooser = self.dispatcher.choose_endpoint
         self.attempts_sent = 0
         self._retry_budget = RetryBudgetShare(limits)
@@ -293,14 +301,22 @@
             endpoint.end_request(scheduler.now_s, answered)
             handle_result(result)
 
-        def handle_answer() -> None:
+        def observe_limit(limit_per_s: float | None) -> None:
+            now_s, identifier = scheduler.now_s, endpoint.record.id
+            self._rate_limits.observe_answer(identifier, limit_per_s, started_s, now_s)
+            if limit_per_s is not None:
+                self.limits_known_s.setdefault(identifier, now_s)
+
+        def handle_answer(limit_per_s: float | None) -> None:
+            observe_limit(limit_per_s)
             if not attempt.settled:
                 endpoint.observe_load(scheduler.now_s, *model.count_jobs())
                 elapsed_s = scheduler.now_s - started_s
                 self.registry.observe_answer(endpoint, scheduler.now_s, elapsed_s)
             settle_attempt(Served(200))
 
-        def handle_rejection() -> None:
+        def handle_rejection(limit_per_s: float | None) -> None:
+            observe_limit(limit_per_s)
             endpoint.observe_load(scheduler.now_s, *model.count_jobs())
             settle_attempt(NotRun(ErrorKind.ENDPOINT_SHED, True, True))
 
@@ -309,11 +325,16 @@
             settle_attempt(OutcomeUnknown(ErrorKind.ENDPOINT_TIMEOUT))
 
         def deliver_job() -> None:
+            model.arrivals.append((scheduler.now_s, self.name))
             if not model.accept_job(job):
-                scheduler.call_later(delay_s, handle_rejection)
+                limit_per_s = model.limit_per_s
+                scheduler.call_later(delay_s, lambda: handle_rejection(limit_per_s))
+
+        def finish_job() -> None:
+            limit_per_s = model.limit_per_s
+            scheduler.call_later(delay_s, lambda: handle_answer(limit_per_s))
 
-        on_finish = lambda: scheduler.call_later(delay_s, handle_answer)  # noqa: E731
-        job = _Job(request.cold_processing_s, request.object_key, on_finish)
+        job = _Job(request.cold_processing_s, request.object_key, finish_job)
         scheduler.call_later(delay_s, deliver_job)
         scheduler.call_later(max(0.0, progress.deadline_s - started_s), handle_timeout)
 
@@ -339,11 +360,12 @@
         for number in range(layout.endpoints):
             record = self._build_record(number)
             self.endpoints[record.id] = EndpointModel(self.scheduler, record)
-        names = [f"d{number}" for number in range(layout.daemons)]
-        zones = layout.zones
-        self.daemons = [
-            Daemon(self, name, zones[n % len(zones)], names, limits) for n, name in enumerate(names)
-        ]
+        zones = {
+            f"d{number}": layout.zones[number % len(layout.zones)]
+            for number in range(layout.daemons)
+        }
+        regions = {DaemonName(name): layout.get_region(zone) for name, zone in zones.items()}
+        self.daemons = [Daemon(self, name, zone, regions, limits) for name, zone in zones.items()]
 
     def _build_record(self, number: int) -> EndpointRecord:
         """Returns the registry entry of the endpoint with this number."""
--- a/experiments/runs.py
+++ b/experiments/runs.py
@@ -11,7 +11,16 @@
 from experiments.policies import POLICIES
 from lycheepin.steering.budgets import BudgetLimits
 
-__all__ = ["BUDGET_LIMITS", "SCENARIOS", "Figure", "Scenario", "measure", "run_scenario"]
+__all__ = [
+    "BUDGET_LIMITS",
+    "LIMITED_FROM_S",
+    "SCENARIOS",
+    "Figure",
+    "Scenario",
+    "measure",
+    "run_scenario",
+    "schedule_limits",
+]
 
 # Budgets that the users' deployments set.
 BUDGET_LIMITS = BudgetLimits(
@@ -23,6 +32,9 @@
 # at the end no new requests arrive.
 MEASURED_FROM_S, MEASURED_UNTIL_S = 4.0, 14.0
 SEEDS = (1, 2, 3)
+# Time from which endpoints name limits, and time over which their requests are counted before.
+LIMITED_FROM_S = 6.0
+LIMIT_SAMPLE_S = 4.0
 
 
 @dataclass(frozen=True)
@@ -72,6 +84,19 @@
     )
 
 
+def schedule_limits(simulation: Simulation) -> None:
+    """Lets two of three endpoints name half of what they got as their limit, from second 6 on."""
+
+    def name_limits() -> None:
+        now_s = simulation.scheduler.now_s
+        for number, endpoint in enumerate(simulation.endpoints.values()):
+            recent = sum(time_s >= now_s - LIMIT_SAMPLE_S for time_s, _ in endpoint.arrivals)
+            if number % 3:
+                endpoint.limit_per_s = 0.5 * recent / LIMIT_SAMPLE_S
+
+    simulation.scheduler.call_later(LIMITED_FROM_S, name_limits)
+
+
 SCENARIOS = (
     *(
         Scenario(f"load {load:g}", lambda time_s, load=load: load)
@@ -80,6 +105,7 @@
     Scenario("burst of 3 from 6 to 10 s", lambda time_s: 3.0 if 6 <= time_s < 10 else 1.0),
     Scenario("a third slow", lambda time_s: 1.0, _schedule_slow_third),
     Scenario("a seventh silent", lambda time_s: 1.0, _schedule_unresponsive_seventh),
+    Scenario("two thirds limited", lambda time_s: 1.0, schedule_limits),
 )
 
 
