A process that came back before a copy is not taken for removed

What callers would see: an endpoint whose entry had expired and was written again before the store went away is dropped 2.3 s after the store's return, if its entry was missing meanwhile and it writes no newer one. Cause: removals were remembered also after their process had registered again. Found by reading. Evidence: the new test failed before. The directory forgets such removals as well (no change that could be seen there, as a listed daemon stays).

--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -71,6 +71,7 @@
         if self._had_left(record):
             return False
         self._daemons[record.name] = record
+        self._removed.pop(record.name, None)
         if current != record:
             self._observe_change()
         return current != record
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -173,6 +173,9 @@
         if current is None or current.record.started_ms != record.started_ms:
             if current is not None:
                 self._remove_endpoint(current)
+            process = (record.id, record.started_ms)
+            self._removed.pop(process, None)
+            self._removed_before_copy.pop(process, None)
             endpoint = Endpoint(record)
             endpoint.cold_until_s = now_s + record.cold_s
             self._endpoints[record.id] = endpoint
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -90,6 +90,16 @@
         self.assertTrue(registry.register(record("a", sequence=5), 3.2))
         self.assertIsNotNone(registry.get(EndpointId("a")))
 
+    def test_process_that_had_come_back_before_a_copy_is_not_taken_for_removed(self) -> None:
+        registry = build_registry(record("a", sequence=4))
+        registry.remove(EndpointId("a"), 1.0)
+        registry.register(record("a", sequence=4), 2.0)
+        registry.observe_store_outage()
+        registry.remove(EndpointId("a"), 3.0)
+        registry.observe_restored_store(4.0)
+        self.assertTrue(registry.register(record("a", sequence=4), 4.1))
+        self.assertEqual(registry.missing_count, 0)
+
     def test_older_entry_of_a_process_does_not_end_its_draining(self) -> None:
         registry = build_registry(record("a", draining=True, sequence=9))
         self.assertFalse(registry.register(record("a", sequence=3), 1.0))
