A limit that is named now and then allows one share, not one each time

What callers would see: nothing; an endpoint whose answers name a limit only at times would get a fresh share with each of them. Cause: what this daemon had sent was forgotten when the limit ended. Found by reading the change. Change: what was sent in the last window is kept for endpoints that once had a limit.

--- a/lycheepin/steering/rate_limits.py
+++ b/lycheepin/steering/rate_limits.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from math import floor
 from zlib import crc32
 
@@ -29,11 +29,10 @@
 
 @dataclass
 class _Limit:
-    """A limit in requests per second, when it was last named, and when this daemon used it."""
+    """A limit in requests per second, and when it was last named."""
 
     per_s: float
     named_at_s: float
-    sent_s: deque[float] = field(default_factory=deque)
 
     @property
     def window_s(self) -> float:
@@ -56,6 +55,7 @@
         self._own = own
         self._carriers = carriers
         self._limits: dict[EndpointId, _Limit] = {}
+        self._sent_s: dict[EndpointId, deque[float]] = {}
 
     @property
     def count(self) -> int:
@@ -81,6 +81,7 @@
             if per_s is None:
                 return False
             self._limits[endpoint_id] = _Limit(per_s, now_s)
+            self._sent_s.setdefault(endpoint_id, deque())
             return True
         if sent_s < current.named_at_s and (per_s is None or per_s > current.per_s):
             return False
@@ -96,26 +97,31 @@
         limit = self._limits.get(endpoint.id)
         if limit is None:
             return 0.0
+        sent_s = self._sent_s[endpoint.id]
         share = self._carriers.find_share(endpoint.id, limit.allowed, now_s, endpoint.region)
         if not share.requests:
-            last_s = limit.sent_s[-1] if limit.sent_s else limit.named_at_s
+            last_s = sent_s[-1] if sent_s else limit.named_at_s
             interval_s = self._probe_interval_s(endpoint.id, limit, share.carriers_without)
             return max(0.0, last_s + interval_s - now_s)
-        if len(limit.sent_s) < share.requests:
+        if len(sent_s) < share.requests:
             return 0.0
-        return max(0.0, limit.sent_s[-share.requests] + limit.window_s - now_s)
+        return max(0.0, sent_s[-share.requests] + limit.window_s - now_s)
 
     def count_request(self, endpoint_id: EndpointId, now_s: float) -> None:
-        """Counts a request that is sent to an endpoint."""
+        """Counts a request that is sent to an endpoint which has, or once had, a limit."""
+        sent_s = self._sent_s.get(endpoint_id)
+        if sent_s is None:
+            return
         limit = self._limits.get(endpoint_id)
-        if limit is not None:
-            limit.sent_s.append(now_s)
-            while limit.sent_s[0] <= now_s - MAX_WINDOW_S:
-                limit.sent_s.popleft()
+        window_s = limit.window_s if limit is not None else WINDOW_S
+        sent_s.append(now_s)
+        while sent_s[0] <= now_s - window_s:
+            sent_s.popleft()
 
     def forget_endpoint(self, endpoint_id: EndpointId) -> None:
         """Removes the limit of an endpoint that no longer exists."""
         self._limits.pop(endpoint_id, None)
+        self._sent_s.pop(endpoint_id, None)
 
     def _probe_interval_s(
         self, endpoint_id: EndpointId, limit: _Limit, carriers_without: int
--- a/tests/steering/test_rate_limits.py
+++ b/tests/steering/test_rate_limits.py
@@ -90,6 +90,17 @@
                     )
                     self.assertLessEqual(most, 1.5 * 4.0 * per_s + 5)
 
+    def test_limit_that_is_named_now_and_then_allows_a_new_share_each_time(self) -> None:
+        limits = RateLimits(OWN, Carriers(OWN, lambda: (OWN,)))
+        sent = 0
+        for step in range(40):
+            now_s = step * 0.1
+            limits.observe_answer(ENDPOINT, None if step % 2 else 2.5, now_s, now_s)
+            while not step % 2 and not limits.wait_s(RECORD, now_s):
+                limits.count_request(ENDPOINT, now_s)
+                sent += 1
+        self.assertEqual(sent, 10)
+
     def test_daemons_together_use_at_least_three_quarters_of_the_limit(self) -> None:
         for count in (1, 11, 27, 79):
             for per_s in (0.5, 1.0, 2.4, 6.5, 40.0):
