One check of integers in entries, and one way to restore the store in tests

The check of the sequence stood beside its twin for slots, and five tests restored the store and waited in the same three lines. Which entries are read stays the same; the text of the error in an entry_unreadable line names the least value now.

--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -218,11 +218,11 @@
         port=int(port),
         zone=zone,
         region=zones[zone],
-        slots=_require_positive_int(document["slots"]),
+        slots=_require_int(document["slots"], 1),
         draining=document["state"] == _DRAINING,
         cold_s=float(cold_ms) / MS_PER_S,
         started_ms=int(document.get("born", 0)),
-        sequence=_require_count(document["sequence"]),
+        sequence=_require_int(document["sequence"], 0),
     )
 
 
@@ -233,17 +233,10 @@
     return value
 
 
-def _require_positive_int(value: Any) -> int:
-    """Returns `value` if it is a positive integer; raises ValueError otherwise."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
-        raise ValueError(f"not a positive integer: {value!r}")
-    return value
-
-
-def _require_count(value: Any) -> int:
-    """Returns `value` if it is an integer that is not negative; raises ValueError otherwise."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
-        raise ValueError(f"not a count: {value!r}")
+def _require_int(value: Any, minimum: int) -> int:
+    """Returns `value` if it is an integer of at least `minimum`; raises ValueError otherwise."""
+    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
+        raise ValueError(f"not an integer of at least {minimum}: {value!r}")
     return value
 
 
--- a/tests/gateway/test_restored_store.py
+++ b/tests/gateway/test_restored_store.py
@@ -8,6 +8,7 @@
 from lycheepin.gateway.process import Gateway
 from lycheepin.names import ZoneName
 from lycheepin.steering import fleet
+from standins.metadata import StoreCopy
 from tests.gateway.deployment import DeploymentCase, configuration, request
 
 
@@ -32,6 +33,12 @@
             lambda: all(g.state.table and g.state.table.version == version for g in gateways)
         )
 
+    async def _restore_store(self, stored: StoreCopy, gateways: list[Gateway]) -> None:
+        """Restores the store, and waits until a change made after it is in force."""
+        self.store.restore(stored)
+        await self._write_configuration(2)
+        await self._wait_until_in_force(gateways, 2)
+
     async def test_followers_miss_a_change_after_the_store_came_back_from_a_copy(self) -> None:
         gateways = await self._start_gateways(3)
         stored = self.store.make_copy()
@@ -64,9 +71,7 @@
         endpoint = await self.add_endpoint("b")
         for gateway in gateways:
             await self.wait_until_ready(gateway)
-        self.store.restore(stored)
-        await self._write_configuration(2)
-        await self._wait_until_in_force(gateways, 2)
+        await self._restore_store(stored, gateways)
         for gateway in gateways:
             self.assertEqual(sorted(e.record.id for e in gateway.registry.all()), ["a", "b"])
         self.store.put("servers/b", endpoint.build_entry("north-1", sequence=9))
@@ -81,9 +86,7 @@
         self.store.put("op/evacuate/south-1", {})
         zone = ZoneName("south-1")
         await self.wait_until(lambda: all(zone in g.registry.evacuated_zones for g in gateways))
-        self.store.restore(stored)
-        await self._write_configuration(2)
-        await self._wait_until_in_force(gateways, 2)
+        await self._restore_store(stored, gateways)
         for gateway in gateways:
             self.assertIn(zone, gateway.registry.evacuated_zones)
 
@@ -99,9 +102,7 @@
             lambda: all(len(list(g.registry.all())) == 2 for g in gateways)
             and all(any(e.record.draining for e in g.registry.all()) for g in gateways)
         )
-        self.store.restore(stored)
-        await self._write_configuration(2)
-        await self._wait_until_in_force(gateways, 2)
+        await self._restore_store(stored, gateways)
         for number, gateway in enumerate(gateways * 10):
             content = request("/order/1", "POST", f"r{number}", Affinity_Key=str(number))
             self.assertEqual((await self.send_request(gateway, content))[0], 200)
@@ -116,9 +117,7 @@
         stopped.stop()
         remaining = gateways[:2]
         await self._wait_until_known(remaining)
-        self.store.restore(stored)
-        await self._write_configuration(2)
-        await self._wait_until_in_force(remaining, 2)
+        await self._restore_store(stored, remaining)
         for gateway in remaining:
             addresses = gateway.find_addresses(gateway.settings.zone, gateway.settings.region)
             self.assertNotIn(str(stopped.settings.front), addresses)
@@ -130,9 +129,7 @@
         stored = self.store.make_copy()
         gateways = await self._start_gateways(3)
         changes = [gateway.directory.change_count for gateway in gateways]
-        self.store.restore(stored)
-        await self._write_configuration(2)
-        await self._wait_until_in_force(gateways, 2)
+        await self._restore_store(stored, gateways)
         entries = [f"lycheepin/daemons/{gateway.settings.name}" for gateway in gateways]
         await self.wait_until(lambda: all(key in self.store.items for key in entries))
         self.assertEqual([gateway.directory.change_count for gateway in gateways], changes)
