Log of attempts with an unknown outcome: caller, target and digest of the body

The attempt lines could not tell a request that comes again from others for the same object, nor an endpoint that ended from a connection that was closed. No decision changes.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -136,7 +136,7 @@
             return NotRun(ErrorKind.DEADLINE if expired else ErrorKind.ENDPOINT_UNREACHABLE, False)
         if expired or isinstance(error, TimeoutError):
             return OutcomeUnknown(ErrorKind.ENDPOINT_TIMEOUT)
-        return OutcomeUnknown(ErrorKind.ENDPOINT_BROKE)
+        return OutcomeUnknown(ErrorKind.ENDPOINT_BROKE, str(error))
 
     async def _send_request(
         self,
--- a/lycheepin/gateway/incoming.py
+++ b/lycheepin/gateway/incoming.py
@@ -17,7 +17,9 @@
 
 
 class RequestConnection(Protocol):
-    """The connection on which a request was received."""
+    """The connection on which a request was received; `caller_host` is the caller's address."""
+
+    caller_host: str
 
     def write(self, data: bytes) -> None:
         """Writes bytes to the caller."""
@@ -59,6 +61,11 @@
         """Returns the value of a header by its lower-case name, or None."""
         return self.headers_by_name.get(name)
 
+    @property
+    def caller_host(self) -> str:
+        """The network address of the caller, without its port."""
+        return self._connection.caller_host
+
     @property
     def path(self) -> str:
         """The target without its query string."""
--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -55,11 +55,13 @@
         self._body_bytes = 0
         self.head_since_s: float | None = None
         self.idle_since_s = self._loop.time()
+        self.caller_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by asyncio; adds the connection to its listener."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self.caller_host = str((transport.get_extra_info("peername") or ("",))[0])
         self._listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import defaultdict
+from hashlib import blake2b
 
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
@@ -22,7 +23,13 @@
 )
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
-from lycheepin.steering.progress import AttemptResult, EndpointChange, RequestProgress, Served
+from lycheepin.steering.progress import (
+    AttemptResult,
+    EndpointChange,
+    OutcomeUnknown,
+    RequestProgress,
+    Served,
+)
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import Route, RoutingTable, TrafficSplitter
@@ -222,8 +229,30 @@
             took_ms=int((loop.time() - started_s) * MS_PER_S),
             outcome=str(result.status) if isinstance(result, Served) else result.kind.value,
         )
+        if isinstance(result, OutcomeUnknown):
+            self._log_unknown_outcome(request, body, progress, endpoint, result)
         return outcome, result
 
+    def _log_unknown_outcome(
+        self,
+        request: IncomingRequest,
+        body: bytes,
+        progress: RequestProgress,
+        endpoint: Endpoint,
+        result: OutcomeUnknown,
+    ) -> None:
+        """Logs a request that may have run at an endpoint, so that its repetitions can be found."""
+        self._log.write(
+            "outcome_unknown",
+            request=progress.identifier,
+            endpoint=endpoint.record.id,
+            kind=result.kind.value,
+            detail=result.detail,
+            caller=request.caller_host,
+            target=request.target.decode("latin-1"),
+            body=blake2b(body, digest_size=8).hexdigest(),
+        )
+
     def _may_abandon(self, progress: RequestProgress, endpoint: Endpoint) -> bool:
         """Returns whether an attempt at an unresponsive endpoint may be abandoned.
 
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -59,9 +59,10 @@
 
 @dataclass(frozen=True)
 class OutcomeUnknown:
-    """The request may have run."""
+    """The request may have run; `detail` says for the log what was seen."""
 
     kind: ErrorKind
+    detail: str = ""
 
 
 # Result of one attempt without the answer; decides whether the request may be retried.
