A request under which three endpoints crashed is refused by all daemons

Cause: nothing a daemon knows outlives one try of a caller. Each try has an id of its own, is placed like any other, and our second attempt carries it to the next endpoint. And nobody sees three: eleven daemons share the tries. Class: a bound on what all daemons do together of which none has the sum.

Change: a connection that breaks under a request leads to one connection attempt; if that is refused, or another process answers at the address, the endpoint has crashed and the requests that were there are suspected. Suspicions go to the store under a lease of their own and from there to all daemons with the watch that exists. After two crashes a request is sent once a try, after three it is refused with 503, which is true as it is not sent. An answer refutes all suspicions, also those to come for 10 s before, so that popular requests aren't blamed; one daemon probes twice at most, 15 and 30 s after the last crash. A crash that one daemon found excludes the endpoint at all.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -12,6 +12,7 @@
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.routes import RoutingTable
+from lycheepin.steering.suspects import Suspicion
 
 __all__ = ["DeploymentState"]
 
@@ -32,6 +33,9 @@
         self._log = log
         self.on_configuration: Callable[[RoutingTable], None] = lambda table: None
         self.on_daemon_removed: Callable[[DaemonName], None] = lambda name: None
+        self.on_suspicion: Callable[[Suspicion], None] = lambda suspicion: None
+        self.on_suspicion_removed: Callable[[str], None] = lambda key: None
+        self.on_suspicions_listed: Callable[[frozenset[str]], None] = lambda keys: None
 
     def apply_configuration(self, table: RoutingTable) -> None:
         """Puts a configuration in force; ignored unless its version is later."""
--- /dev/null
+++ b/lycheepin/gateway/fingerprints.py
@@ -0,0 +1,36 @@
+"""Fingerprints, by which all daemons know a request that comes again."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from hashlib import blake2b
+
+from lycheepin.gateway.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
+from lycheepin.steering.suspects import Fingerprint
+
+__all__ = ["fingerprint_request"]
+
+DIGEST_BYTES = 12
+# Headers that tell callers apart.
+_CREDENTIALS = (b"authorization", b"cookie")
+
+
+def fingerprint_request(
+    request: IncomingRequest, body: bytes, identifying: Iterable[bytes]
+) -> Fingerprint:
+    """Returns the fingerprint of a request, from what is the same each time it comes.
+
+    `body` is the whole body, or more than MAX_BUFFERED_BODY_BYTES of it; of a longer one only that
+    part and the length count. `identifying` has the lower-case names of further headers that count.
+    The network address does not: a caller may have several.
+    """
+    host = (request.header(b"host") or b"").partition(b":")[0].lower()
+    parts = [request.method, host, request.target]
+    parts += [request.header(name) or b"" for name in (*_CREDENTIALS, *identifying)]
+    if len(body) > MAX_BUFFERED_BODY_BYTES:
+        parts.append(request.header(b"content-length") or b"")
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in parts:
+        digest.update(b"%d:" % len(part) + part)
+    digest.update(body[:MAX_BUFFERED_BODY_BYTES])
+    return Fingerprint(digest.hexdigest())
--- a/lycheepin/gateway/incoming.py
+++ b/lycheepin/gateway/incoming.py
@@ -9,17 +9,21 @@
 
 from lycheepin.transport.connection import Headers
 
-__all__ = ["REASONS", "IncomingRequest", "RequestConnection"]
+__all__ = ["MAX_BUFFERED_BODY_BYTES", "REASONS", "IncomingRequest", "RequestConnection"]
 
+# Longest body that is buffered before the request is sent, so that it can be sent again.
+MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 # Reason phrase of each HTTP status.
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 _NO_BODY_STATUSES = (204, 304)
 
 
 class RequestConnection(Protocol):
-    """The connection on which a request was received; `caller_host` is the caller's address."""
+    """The connection on which a request was received."""
 
-    caller_host: str
+    @property
+    def caller_host(self) -> str:
+        """The network address of the caller, without its port."""
 
     def write(self, data: bytes) -> None:
         """Writes bytes to the caller."""
--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -55,13 +55,11 @@
         self._body_bytes = 0
         self.head_since_s: float | None = None
         self.idle_since_s = self._loop.time()
-        self.caller_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by asyncio; adds the connection to its listener."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self.caller_host = str((transport.get_extra_info("peername") or ("",))[0])
         self._listener.connections.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -220,6 +218,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    @property
+    def caller_host(self) -> str:
+        """The network address of the caller, without its port."""
+        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return str(peer[0]) if peer else ""
+
     @property
     def is_idle(self) -> bool:
         """Whether no request is being read, queued or handled."""
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -21,6 +21,7 @@
 from lycheepin.gateway.relay import RELAY_PATH, Relay
 from lycheepin.gateway.request_handler import RequestHandler
 from lycheepin.gateway.settings import GatewaySettings
+from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.steering.budgets import Carriers
@@ -30,6 +31,7 @@
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.routes import RoutingTable
+from lycheepin.steering.suspects import SuspectRegistry
 from lycheepin.transport.connection import ConnectionPool
 
 __all__ = ["Gateway", "Platform", "run_gateway"]
@@ -90,6 +92,10 @@
             self.registry, placement, settings.terms, carriers, self.rate_limits
         )
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
+        self.suspects = SuspectRegistry(carriers.is_chosen)
+        self.suspicions = SuspicionExchange(
+            settings.name, self.suspects, self.registry, self._pool, self.log
+        )
         attempt_runner = AttemptRunner(
             self.registry, self._pool, platform.header_names, self.rate_limits, self.log
         )
@@ -101,6 +107,7 @@
             settings.terms,
             carriers,
             self.rate_limits,
+            self.suspicions,
             self.log,
             self.metrics,
         )
@@ -153,6 +160,7 @@
             listener.stop_listening()
             for connection in list(listener.connections):
                 connection.abort()
+        self.suspicions.detector.close()
         self._pool.close()
 
     def stop(self) -> None:
@@ -193,6 +201,8 @@
             "caller_connections": float(len(self._caller_listener.connections)),
             "endpoints": float(len(known_endpoints)),
             "limited_endpoints": float(self.rate_limits.count),
+            "suspected_requests": float(self.suspects.count),
+            "quarantined_requests": float(self.suspects.quarantined),
             "configuration_version": float(self.state.table.version if self.state.table else 0),
             "store_answers": float(self.state.store_answers),
         }
@@ -232,6 +242,7 @@
 
         self.registry.on_removed = release_endpoint
         self.state.on_configuration = update_table
+        self.state.on_suspicion = self.suspicions.apply_suspicion
 
     def _reload_settings(self) -> None:
         """Reloads the settings; called on SIGHUP."""
--- a/lycheepin/gateway/registration.py
+++ b/lycheepin/gateway/registration.py
@@ -105,7 +105,7 @@
                 await self._store.end_lease(lease)
                 return
             self._lease = lease
-        answer = await self._store.put(self._key, self._encode_entry(self._lease), self._lease)
+        answer = await self._store.put({self._key: self._encode_entry(self._lease)}, self._lease)
         if self.state is not RegistrationState.REGISTERING:
             return
         match answer:
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -4,13 +4,14 @@
 
 import asyncio
 from collections import defaultdict
-from hashlib import blake2b
 
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.gateway.incoming import IncomingRequest
+from lycheepin.gateway.fingerprints import fingerprint_request
+from lycheepin.gateway.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
+from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
@@ -24,8 +25,10 @@
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.progress import (
+    FIRST_FAILURE_STATUS,
     AttemptResult,
     EndpointChange,
+    NotRun,
     OutcomeUnknown,
     RequestProgress,
     Served,
@@ -33,13 +36,12 @@
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import Route, RoutingTable, TrafficSplitter
+from lycheepin.steering.suspects import Quarantined
 from lycheepin.transport.connection import BrokenAnswer, Headers
 from lycheepin.transport.headers import strip_hop_by_hop
 
 __all__ = ["RequestHandler"]
 
-# Longest body that is buffered before the request is sent, so that it can be sent again.
-MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 # Retry-After, in seconds, of a daemon that has no configuration yet.
 STARTING_RETRY_AFTER_S = 0.5
 MS_PER_S = 1000
@@ -61,6 +63,7 @@
         budget_limits: BudgetLimits,
         carriers: Carriers,
         rate_limits: RateLimits,
+        suspicions: SuspicionExchange,
         log: DecisionLog,
         metrics: Metrics,
     ) -> None:
@@ -68,6 +71,7 @@
         self._registry = registry
         self._dispatcher = dispatcher
         self._attempt_runner = attempt_runner
+        self._suspicions = suspicions
         self._log = log
         self._metrics = metrics
         self._traffic_splitter = TrafficSplitter()
@@ -124,6 +128,7 @@
             self._finish_with_error(request, progress, ErrorKind.DEADLINE, None)
             return
         progress.body_buffered = len(body) <= MAX_BUFFERED_BODY_BYTES
+        progress.fingerprint = fingerprint_request(request, body, (self._header_names.object_key,))
         try:
             await self._try_endpoints(request, body, progress, table)
         except asyncio.CancelledError:
@@ -160,6 +165,10 @@
         spec = table.services[progress.service]
         retry_share = self._retry_shares[progress.service]
         while True:
+            quarantined = self._suspicions.find_quarantine(progress.fingerprint)
+            if quarantined is not None:
+                self._refuse_quarantined(request, progress, quarantined)
+                return
             choice = self._dispatcher.choose_endpoint(
                 progress.build_requirements(), spec, loop.time()
             )
@@ -168,8 +177,12 @@
                 self._finish_with_error(request, progress, choice.kind, choice.retry_after_s)
                 return
             outcome, result = await self._make_attempt(request, body, progress, choice)
-            if progress.is_retryable(result) and progress.try_reserve_attempt(
-                result, retry_share, self._carriers.slack_fraction(loop.time()), loop.time()
+            if (
+                progress.is_retryable(result)
+                and self._suspicions.may_resend(progress.fingerprint)
+                and progress.try_reserve_attempt(
+                    result, retry_share, self._carriers.slack_fraction(loop.time()), loop.time()
+                )
             ):
                 continue
             if isinstance(outcome, EndpointAnswer):
@@ -178,6 +191,21 @@
                 self._finish_with_error(request, progress, outcome.kind, None)
             return
 
+    def _refuse_quarantined(
+        self, request: IncomingRequest, progress: RequestProgress, quarantined: Quarantined
+    ) -> None:
+        """Logs and refuses a request under which endpoints crashed."""
+        self._metrics.count("requests_quarantined")
+        self._log.write(
+            "request_quarantined",
+            request=progress.identifier,
+            fingerprint=progress.fingerprint,
+            target=request.target.decode("latin-1"),
+            caller=request.caller_host,
+            crashes=quarantined.crashes,
+        )
+        self._finish_with_error(request, progress, ErrorKind.QUARANTINED, quarantined.retry_after_s)
+
     def _log_weighed(self, progress: RequestProgress, refusal: Refusal) -> None:
         """Logs what decided that no endpoint gets the next attempt of a request."""
         now_s = asyncio.get_running_loop().time()
@@ -229,14 +257,28 @@
             took_ms=int((loop.time() - started_s) * MS_PER_S),
             outcome=str(result.status) if isinstance(result, Served) else result.kind.value,
         )
-        if isinstance(result, OutcomeUnknown):
-            self._log_unknown_outcome(request, body, progress, endpoint, result)
+        self._observe_result(request, progress, endpoint, result)
         return outcome, result
 
+    def _observe_result(
+        self,
+        request: IncomingRequest,
+        progress: RequestProgress,
+        endpoint: Endpoint,
+        result: AttemptResult,
+    ) -> None:
+        """Passes what an attempt says about crashes of its endpoint on."""
+        match result:
+            case NotRun(kind=ErrorKind.ENDPOINT_REPLACED):
+                self._suspicions.detector.observe_end(endpoint)
+            case OutcomeUnknown(kind=kind):
+                self._log_unknown_outcome(request, progress, endpoint, result)
+                if kind is ErrorKind.ENDPOINT_BROKE:
+                    self._suspicions.detector.observe_break(endpoint, progress.fingerprint)
+
     def _log_unknown_outcome(
         self,
         request: IncomingRequest,
-        body: bytes,
         progress: RequestProgress,
         endpoint: Endpoint,
         result: OutcomeUnknown,
@@ -250,7 +292,7 @@
             detail=result.detail,
             caller=request.caller_host,
             target=request.target.decode("latin-1"),
-            body=blake2b(body, digest_size=8).hexdigest(),
+            fingerprint=progress.fingerprint,
         )
 
     def _may_abandon(self, progress: RequestProgress, endpoint: Endpoint) -> bool:
@@ -292,6 +334,7 @@
         ]
         self._count_answer(request, progress, str(answer.head.status))
         if answer.connection is None:
+            self._observe_served(progress, answer.head.status)
             request.respond(answer.head.status, headers, answer.body)
             return
         request.start_answer(answer.head.status, headers, None)
@@ -302,6 +345,8 @@
                     await request.send_chunk(chunk)
         except (BrokenAnswer, TimeoutError) as error:
             self._log.write("answer_cut", request=progress.identifier, reason=repr(error))
+            if isinstance(error, BrokenAnswer):
+                self._suspicions.detector.observe_break(endpoint, progress.fingerprint)
             answer.connection.close()
             request.abort()
             return
@@ -309,8 +354,14 @@
             answer.connection.close()
             raise
         request.finish_answer()
+        self._observe_served(progress, answer.head.status)
         self._attempt_runner.release_connection(endpoint, answer.connection)
 
+    def _observe_served(self, progress: RequestProgress, status: int) -> None:
+        """Records a complete answer of an endpoint, unless it reports a failure."""
+        if status < FIRST_FAILURE_STATUS:
+            self._suspicions.observe_served(progress.fingerprint)
+
     def _finish_with_error(
         self,
         request: IncomingRequest,
--- a/lycheepin/gateway/storage.py
+++ b/lycheepin/gateway/storage.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NewType, Protocol
 
@@ -137,5 +138,7 @@
     async def end_lease(self, lease: Lease) -> StoreFailure | None:
         """Ends a lease and removes its keys."""
 
-    async def put(self, key: str, value: bytes, lease: Lease) -> Stored | LeaseEnded | StoreFailure:
-        """Writes a value that is removed when the lease ends."""
+    async def put(
+        self, values: Mapping[str, bytes], lease: Lease
+    ) -> Stored | LeaseEnded | StoreFailure:
+        """Writes values by key, all or none; they are removed when the lease ends."""
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -8,6 +8,7 @@
 import json
 from collections.abc import Mapping
 from dataclasses import dataclass
+from hashlib import blake2b
 from typing import Any
 
 from lycheepin.errors import DECODE_ERRORS
@@ -24,6 +25,7 @@
     ServiceShare,
     ServiceSpec,
 )
+from lycheepin.steering.suspects import EndpointProcess, Fingerprint, Suspicion
 
 __all__ = [
     "DAEMON_PREFIX",
@@ -36,6 +38,7 @@
     "UnreadableEntry",
     "decode_entry",
     "encode_daemon",
+    "encode_suspicion",
     "parse_key",
 ]
 
@@ -43,6 +46,8 @@
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
 DAEMON_PREFIX = "lycheepin/daemons/"
+SUSPICION_PREFIX = "lycheepin/suspicions/"
+SUSPICION_DIGEST_BYTES = 16
 MS_PER_S = 1000
 # Timeout in seconds of routes that set none; longer than any deadline of their callers.
 DEFAULT_TIMEOUT_S = 60.0
@@ -99,7 +104,13 @@
 
 
 DecodedEntry = (
-    ConfigurationEntry | EvacuationEntry | EndpointEntry | DaemonEntry | UnreadableEntry | None
+    ConfigurationEntry
+    | EvacuationEntry
+    | EndpointEntry
+    | DaemonEntry
+    | Suspicion
+    | UnreadableEntry
+    | None
 )
 
 
@@ -119,6 +130,7 @@
         (EVACUATION_PREFIX, EvacuationEntry),
         (ENDPOINT_PREFIX, EndpointEntry),
         (DAEMON_PREFIX, DaemonEntry),
+        (SUSPICION_PREFIX, Suspicion),
     ):
         if key.startswith(prefix):
             return EntryKey(kind, key.removeprefix(prefix))
@@ -141,6 +153,8 @@
             return ConfigurationEntry(_decode_configuration(document))
         if entry_key.kind is DaemonEntry:
             return DaemonEntry(_decode_daemon(entry_key.name, document))
+        if entry_key.kind is Suspicion:
+            return _decode_suspicion(document)
         return EndpointEntry(_decode_endpoint(entry_key.name, document, zones))
     except DECODE_ERRORS as error:
         return UnreadableEntry(f"{key}: {error!r}")
@@ -269,3 +283,20 @@
             "era": era,
         }
     ).encode()
+
+
+def encode_suspicion(suspicion: Suspicion) -> tuple[str, bytes]:
+    """Returns the key and the value of a suspicion; all daemons use the same key for it."""
+    fields: dict[str, Any] = {"fingerprint": suspicion.fingerprint}
+    fields |= {"endpoint": suspicion.process.id, "started_ms": suspicion.process.started_ms}
+    name = blake2b(json.dumps(fields).encode(), digest_size=SUSPICION_DIGEST_BYTES).hexdigest()
+    return SUSPICION_PREFIX + name, json.dumps(fields | {"refuted": suspicion.refuted}).encode()
+
+
+def _decode_suspicion(document: Any) -> Suspicion:
+    """Returns a suspicion; raises ValueError when it is malformed."""
+    match document:
+        case {"fingerprint": str(name), "endpoint": str(endpoint), "started_ms": int(started_ms)}:
+            process = EndpointProcess(EndpointId(endpoint), started_ms)
+            return Suspicion(Fingerprint(name), process, document["refuted"] is True)
+    raise ValueError(f"not a suspicion: {document!r}")
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -14,8 +14,14 @@
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
 from lycheepin.gateway.registration import Registration
 from lycheepin.gateway.storage import Lease
+from lycheepin.gateway.suspicion_writer import SuspicionWriter
 from lycheepin.names import RegionName, ZoneName
-from lycheepin.platform.entries import DAEMON_PREFIX, HEADER_NAMES, encode_daemon
+from lycheepin.platform.entries import (
+    DAEMON_PREFIX,
+    HEADER_NAMES,
+    encode_daemon,
+    encode_suspicion,
+)
 from lycheepin.platform.metadata import MetadataStore
 from lycheepin.platform.reader import PlatformReader
 from lycheepin.platform.settings import SETTINGS_VARIABLE, SettingsError, load_settings
@@ -61,11 +67,16 @@
 
         self._registration = Registration(store, gateway.replica, key, encode_entry, record.name)
         gateway.state.on_daemon_removed = self._registration.observe_removal
+        suspicions = SuspicionWriter(store, encode_suspicion)
+        gateway.suspicions.publisher = suspicions
+        gateway.state.on_suspicion_removed = suspicions.restore
+        gateway.state.on_suspicions_listed = suspicions.restore_missing
         watch = self._watch_settings(gateway)
         return [
             synchronizer.follow_store(),
             synchronizer.run_entry_expiry(),
             self._registration.maintain_entry(),
+            suspicions.run(),
             watch,
         ]
 
--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -5,6 +5,7 @@
 import base64
 import binascii
 import json
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
@@ -139,11 +140,15 @@
         answer = await self._call("DELETE", f"/api/kv-lease-end/{lease.id}", gone_status=404)
         return answer if isinstance(answer, StoreFailure) else None
 
-    async def put(self, key: str, value: bytes, lease: Lease) -> Stored | LeaseEnded | StoreFailure:
-        """Writes a value that is removed when the lease ends."""
-        text = base64.b64encode(value).decode()
-        write = {"key": key, "value": text, "lease": lease.id}
-        body = {"precondition": [], "writes": [write], "deletes": []}
+    async def put(
+        self, values: Mapping[str, bytes], lease: Lease
+    ) -> Stored | LeaseEnded | StoreFailure:
+        """Writes values by key, all or none; they are removed when the lease ends."""
+        writes = [
+            {"key": key, "value": base64.b64encode(value).decode(), "lease": lease.id}
+            for key, value in values.items()
+        ]
+        body = {"precondition": [], "writes": writes, "deletes": []}
         answer = await self._call("POST", "/api/kv-txn", body, gone_status=404)
         if isinstance(answer, StoreFailure):
             return answer
--- a/lycheepin/platform/reader.py
+++ b/lycheepin/platform/reader.py
@@ -8,6 +8,7 @@
 from lycheepin.gateway.storage import Item
 from lycheepin.names import DaemonName, EndpointId, RegionName, ZoneName
 from lycheepin.platform.entries import (
+    SUSPICION_PREFIX,
     ConfigurationEntry,
     DaemonEntry,
     EndpointEntry,
@@ -16,6 +17,7 @@
     decode_entry,
     parse_key,
 )
+from lycheepin.steering.suspects import Suspicion
 
 __all__ = ["PlatformReader"]
 
@@ -38,12 +40,17 @@
                 self._state.update_endpoint(record)
             case DaemonEntry(record=daemon):
                 self._state.update_daemon(daemon)
+            case Suspicion() as suspicion:
+                self._state.on_suspicion(suspicion)
             case UnreadableEntry(reason=reason):
                 self._state.log_unreadable_entry(reason)
                 self.remove_entry(item.key)
 
     def remove_entry(self, key: str) -> None:
-        """Removes the evacuation, endpoint or daemon that a key named; a configuration stays."""
+        """Removes the evacuation, endpoint or daemon that a key named; a configuration stays.
+
+        A suspicion stays as well: its lease may have run out while the store was away.
+        """
         entry_key = parse_key(key)
         if entry_key is None:
             return
@@ -53,11 +60,13 @@
             self._state.remove_endpoint(EndpointId(entry_key.name))
         elif entry_key.kind is DaemonEntry:
             self._state.remove_daemon(DaemonName(entry_key.name))
+        elif entry_key.kind is Suspicion:
+            self._state.on_suspicion_removed(key)
 
     def remove_missing_entries(self, items: tuple[Item, ...]) -> None:
         """Removes evacuations, endpoints and daemons that a complete listing doesn't contain.
 
-        The configuration stays.
+        The configuration and suspicions stay.
         """
         names: dict[type, set[str]] = {
             EvacuationEntry: set(),
@@ -79,3 +88,6 @@
         daemons = {DaemonName(name) for name in names[DaemonEntry]}
         for daemon in state.directory.missing_from(daemons):
             state.unlist_daemon(daemon)
+        state.on_suspicions_listed(
+            frozenset(item.key for item in items if item.key.startswith(SUSPICION_PREFIX))
+        )
--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -115,6 +115,10 @@
             share = self._shares[key] = self._compute_share(*key)
         return share
 
+    def is_chosen(self, key: str, now_s: float) -> bool:
+        """Returns whether this daemon is the one that all choose for a key."""
+        return self.count_share(EndpointId(key), 1, now_s) == 1
+
     def forget_endpoint(self, endpoint_id: EndpointId) -> None:
         """Removes the shares of an endpoint that no longer exists."""
         self._shares = {key: n for key, n in self._shares.items() if key[0] != endpoint_id}
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -186,6 +186,11 @@
         self.excluded_until_s = now_s + self.exclusion_s
         return True
 
+    def observe_crash(self, now_s: float) -> None:
+        """Excludes the endpoint for the longest time, as its process is known to have crashed."""
+        self.exclusion_s = MAX_EXCLUSION_S
+        self.excluded_until_s = now_s + MAX_EXCLUSION_S
+
     def is_cold(self, now_s: float) -> bool:
         """Returns whether the endpoint is cold."""
         return now_s < self.cold_until_s
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -218,6 +218,12 @@
         if endpoint is not None:
             self._remove_endpoint(endpoint)
 
+    def observe_crash(self, endpoint_id: EndpointId, started_ms: int, now_s: float) -> None:
+        """Excludes an endpoint whose process, started at `started_ms`, has crashed."""
+        endpoint = self._endpoints.get(endpoint_id)
+        if endpoint is not None and endpoint.record.started_ms == started_ms:
+            endpoint.observe_crash(now_s)
+
     def observe_store_outage(self) -> None:
         """Records that the store can't be reached: missing entries don't remove endpoints."""
         self._store_outage = True
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -17,8 +17,10 @@
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.routes import RequestKind, Route
+from lycheepin.steering.suspects import Fingerprint
 
 __all__ = [
+    "FIRST_FAILURE_STATUS",
     "AttemptResult",
     "EndpointChange",
     "NotRun",
@@ -84,6 +86,7 @@
     `waited_s` is how long the caller had waited before this request, 0 unless it is a caller
     retry. `body_buffered` is true while the whole body is buffered, so that it can be sent again.
     `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections.
+    `fingerprint` is the same for all requests like it.
     """
 
     route: Route
@@ -98,6 +101,7 @@
     unreachable: int = 0
     tried: set[EndpointId] = field(default_factory=set)
     may_have_run: bool = False
+    fingerprint: Fingerprint = Fingerprint("")
 
     def build_requirements(self, excluding: EndpointId | None = None) -> AttemptRequirements:
         """Returns the requirements of the next attempt, without tried endpoints.
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -343,6 +343,10 @@
                 connection.sent = False
                 return connection
             connection.close()
+        return await self.open(address, port)
+
+    async def open(self, address: Address, port: int) -> Connection:
+        """Returns a new connection; raises OSError or TimeoutError if opening fails."""
         loop = asyncio.get_running_loop()
         async with asyncio.timeout(self._connect_timeout_s):
             _, protocol = await loop.create_connection(
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import unittest
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Mapping
 
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.registration import Registration, RegistrationState
@@ -64,13 +64,15 @@
         self.items = {key: held for key, held in self.items.items() if held != lease}
         return None
 
-    async def put(self, key: str, value: bytes, lease: Lease) -> Stored | LeaseEnded | StoreFailure:
+    async def put(
+        self, values: Mapping[str, bytes], lease: Lease
+    ) -> Stored | LeaseEnded | StoreFailure:
         self.puts += 1
         self.write_started.set()
         await self.writes_released.wait()
         if lease not in self.leases:
             return LeaseEnded()
-        self.items[key] = lease
+        self.items |= dict.fromkeys(values, lease)
         if self.lost_put_answers:
             self.lost_put_answers -= 1
             return LOST
--- /dev/null
+++ b/tests/gateway/test_suspicions.py
@@ -0,0 +1,111 @@
+import asyncio
+import time
+import unittest
+
+from logbook import NullHandler
+
+from lycheepin.gateway.decisions import DecisionLog
+from lycheepin.gateway.suspicions import SuspicionExchange
+from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.steering.endpoint import Endpoint, EndpointRecord
+from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.suspects import (
+    CRASHES_TO_QUARANTINE,
+    EndpointProcess,
+    Fingerprint,
+    SuspectRegistry,
+    Suspicion,
+)
+from lycheepin.transport.connection import ConnectionPool
+from standins.messages import HOST, find_free_address
+
+POPULAR = Fingerprint("popular")
+
+
+class RecordingPublisher:
+    """Keeps what is published instead of writing it."""
+
+    def __init__(self) -> None:
+        self.published: list[Suspicion] = []
+
+    def publish(self, suspicion: Suspicion, delay_s: float = 0.0) -> None:
+        self.published.append(suspicion)
+
+    def drop(self, suspicion: Suspicion) -> None:
+        self.published = [other for other in self.published if other != suspicion]
+
+
+class PopularRequestIsBlamedForCrashesAtOnce(unittest.IsolatedAsyncioTestCase):
+    """Several endpoints that crash together have the same popular request in common."""
+
+    async def asyncSetUp(self) -> None:
+        handler = NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        self.registry = EndpointRegistry()
+        self.suspects = SuspectRegistry(lambda fingerprint, now_s: False)
+        self.publisher = RecordingPublisher()
+        self.exchange = SuspicionExchange(
+            DaemonName("own"),
+            self.suspects,
+            self.registry,
+            ConnectionPool(HOST),
+            DecisionLog("own", time.monotonic),
+        )
+        self.exchange.publisher = self.publisher
+
+    def _add_ended_endpoint(self, number: int) -> Endpoint:
+        """Adds an endpoint at whose address nothing listens any more."""
+        record = EndpointRecord(
+            EndpointId(f"e{number}"),
+            ServiceName("desk"),
+            HOST,
+            find_free_address().port,
+            ZoneName("north-1"),
+            RegionName("north"),
+            4,
+            False,
+            0.0,
+            1,
+        )
+        self.registry.register(record, 0.0)
+        endpoint = self.registry.get(record.id)
+        assert endpoint is not None
+        return endpoint
+
+    async def _crash_endpoints(self) -> None:
+        """Lets endpoints crash under the popular request, and waits until that is known."""
+        endpoints = [self._add_ended_endpoint(number) for number in range(CRASHES_TO_QUARANTINE)]
+        for endpoint in endpoints:
+            self.exchange.detector.observe_break(endpoint, POPULAR)
+        async with asyncio.timeout(20):
+            while not all(endpoint.excluded_until_s for endpoint in endpoints):
+                await asyncio.sleep(0.01)
+
+    async def test_daemon_that_served_the_request_lately_does_not_blame_it(self) -> None:
+        self.exchange.observe_served(POPULAR)
+        await self._crash_endpoints()
+        self.assertIsNone(self.exchange.find_quarantine(POPULAR))
+        self.assertEqual(self.publisher.published, [])
+
+    async def test_daemon_that_did_not_serve_it_blames_it_and_an_answer_frees_it(self) -> None:
+        await self._crash_endpoints()
+        self.assertIsNotNone(self.exchange.find_quarantine(POPULAR))
+        self.exchange.observe_served(POPULAR)
+        self.assertIsNone(self.exchange.find_quarantine(POPULAR))
+        self.assertEqual(sum(s.refuted for s in self.publisher.published), CRASHES_TO_QUARANTINE)
+
+    async def test_daemon_that_served_it_lately_refutes_what_others_suspect(self) -> None:
+        self.exchange.observe_served(POPULAR)
+        suspicions = [
+            Suspicion(POPULAR, EndpointProcess(EndpointId(f"e{number}"), 1))
+            for number in range(CRASHES_TO_QUARANTINE)
+        ]
+        for suspicion in suspicions:
+            self.exchange.apply_suspicion(suspicion)
+        self.assertIsNone(self.exchange.find_quarantine(POPULAR))
+        self.assertEqual(len(self.publisher.published), CRASHES_TO_QUARANTINE)
+        self.assertTrue(all(s.refuted for s in self.publisher.published))
+        for refutation in list(self.publisher.published):
+            self.exchange.apply_suspicion(refutation)
+        self.assertEqual(self.publisher.published, [])
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -52,12 +52,12 @@
     async def test_lease_can_be_renewed_until_it_ends(self) -> None:
         lease = await self.store.grant_lease(4.0)
         assert isinstance(lease, Lease)
-        self.assertIsInstance(await self.store.put("k/own", b"\x00\xff", lease), Stored)
+        self.assertIsInstance(await self.store.put({"k/own": b"\x00\xff"}, lease), Stored)
         self.assertEqual(await self.store.renew_lease(lease), lease)
         self.stand_in.end_lease(lease.id)
         self.assertNotIn("k/own", self.stand_in.items)
         self.assertIsInstance(await self.store.renew_lease(lease), LeaseEnded)
-        self.assertIsInstance(await self.store.put("k/own", b"", lease), LeaseEnded)
+        self.assertIsInstance(await self.store.put({"k/own": b""}, lease), LeaseEnded)
         self.assertIsNone(await self.store.end_lease(lease))
 
     async def test_error_statuses_and_lost_answers_are_failures(self) -> None:
@@ -126,11 +126,11 @@
                 reissued = await other.grant_lease(4.0)
                 assert isinstance(reissued, Lease)
                 self.assertEqual(reissued.id, lease.id)
-                await other.put("k/other", b"", reissued)
+                await other.put({"k/other": b""}, reissued)
                 if name == "renew":
                     self.assertEqual(await self.store.renew_lease(lease), LeaseEnded())
                 if name == "put":
-                    self.assertEqual(await self.store.put("k/own", b"", lease), LeaseEnded())
+                    self.assertEqual(await self.store.put({"k/own": b""}, lease), LeaseEnded())
                 if name == "end":
                     self.assertIsInstance(await self.store.list_items(""), Listing)
                 self.assertIsNone(await self.store.end_lease(lease))
