A refusal without an id closes its connection, so that a copy of it refuses nothing else

Report of other operators: a faulty endpoint writes an earlier refusal once more on a kept connection, and the caller of the next request is told 503, not run, although the endpoint runs it.

Cause: refusals carry no request id, and an answer without an id was taken for the answer to whatever request is on the connection. Evidence: the test, which failed with 503 "no slot is held" for a request that had run (for an idempotent one a second endpoint would have run it as well). Copies that carry an id were skipped already. The project's own interface closes connections after refusals.

Change: a connection whose answer had no id carries no further request. An answer without an id on a kept connection is then never a copy, since all answers before it on that connection had ids.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -159,6 +159,9 @@
             await _stream_body(connection, request)
         head = await connection.head()
         connection.idle_limit_s = _read_idle_limit_s(head)
+        if head.header(self._header_names.request_id) is None:
+            # A copy of it could not be told from the answer to a later request.
+            connection.close_after_use = True
         all_slots_used = self._observe_load(endpoint, head)
         self._observe_rate_limit(endpoint, head, sent_s)
         if head.header(self._header_names.not_run) is not None or head.status == 421:
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -120,6 +120,35 @@
             )
         self.assertEqual(endpoint.accepted_connections, 3)
 
+    async def test_refusal_is_written_again_before_the_answer_to_the_next_request(self) -> None:
+        runs: list[str] = []
+        refused_on: list[asyncio.StreamWriter] = []
+
+        async def script(received: ReceivedRequest) -> bytes:
+            refusal = build_answer(
+                received,
+                503,
+                Request_Id="",
+                Response_Signature="",
+                Not_Executed="1",
+                Server_Load="0,0,4",
+            )
+            if received.number == 0:
+                refused_on.append(received.writer)
+                return refusal
+            runs.append(received.headers["request-id"])
+            again = refusal if received.writer in refused_on else b""
+            return again + build_answer(received, 200, b"mine")
+
+        await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        self.assertEqual(
+            (await self.send_request(gateway, request("/order/1", "POST", "r1")))[0], 503
+        )
+        status, _, body = await self.send_request(gateway, request("/order/1", "POST", "r2"))
+        self.assertEqual((status, body, runs), (200, b"mine", ["r2"]))
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
