An answer without a length is not whole if its endpoint ended with it

Report of other operators: an endpoint stops in the middle of its answer's head and closes, and clients get a 200 with an empty or short body. Shown by a test that cuts four kinds of answers at each byte: a cut in the head or in a framed body is noticed already (that test passed before). An answer with neither length nor chunks is not: its endpoint ended, and callers got 200 with what had come (two tests that failed before, below and above the size that is buffered).

Cause: the end of the connection is the only end that such an answer has, and the end of a process closes connections just as well. Change: after such an answer one connection to the endpoint is opened, which is kept for later; if it is refused, and the endpoint isn't leaving as planned, the answer broke. No answer to the connection attempt proves nothing, so the answer is forwarded as before.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -170,7 +170,21 @@
             return NotRun(kind, True, all_slots_used)
         if head.status < 300 and head.header(self._header_names.signature) is None:
             raise BrokenAnswer("success without a signature")
-        return await _read_answer(connection, head)
+        answer = await _read_answer(connection, head)
+        if answer.connection is None:
+            await self.check_end(endpoint, connection)
+        return answer
+
+    async def check_end(self, endpoint: Endpoint, connection: Connection) -> None:
+        """Raises BrokenAnswer if an answer without a length ended because its endpoint did.
+
+        One that leaves as planned may end after a whole answer.
+        """
+        record = endpoint.record
+        if not connection.ended_by_close or record.draining or endpoint.removed:
+            return
+        if await self._pool.is_refused(record.address, record.port):
+            raise BrokenAnswer("the endpoint ended with an answer without a length")
 
     def _belongs_to(self, head: AnswerHead, identifier: bytes | None) -> bool:
         """Returns whether an answer is for a request id; true if either has no id."""
--- a/lycheepin/gateway/crash_detector.py
+++ b/lycheepin/gateway/crash_detector.py
@@ -63,16 +63,9 @@
             task.cancel()
 
     async def _check_endpoint(self, endpoint: Endpoint, process: EndpointProcess) -> None:
-        """Opens a connection to an endpoint; one that it accepts is kept for later requests."""
-        record = endpoint.record
-        try:
-            connection = await self._pool.open(record.address, record.port)
-        except (ConnectionRefusedError, ConnectionResetError):
+        """Finds out whether an endpoint still accepts connections."""
+        if await self._pool.is_refused(endpoint.record.address, endpoint.record.port):
             self.observe_end(endpoint)
             return
-        except OSError:
-            pass  # no answer: it may be cut off
-        else:
-            self._pool.release(record.address, record.port, connection)
         await asyncio.sleep(BREAK_MEMORY_S)
         self._broken.pop(process, None)
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -343,6 +343,7 @@
                 await request.send_chunk(answer.body)
                 async for chunk in answer.connection.body():
                     await request.send_chunk(chunk)
+                await self._attempt_runner.check_end(endpoint, answer.connection)
         except (BrokenAnswer, TimeoutError) as error:
             self._log.write("answer_cut", request=progress.identifier, reason=repr(error))
             if isinstance(error, BrokenAnswer):
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -278,6 +278,11 @@
         except TimeoutError:
             pass
 
+    @property
+    def ended_by_close(self) -> bool:
+        """Whether the answer had no length and ended when the connection was closed."""
+        return self._ends_at_close and self._complete
+
     @property
     def head_done(self) -> bool:
         """Whether the head of the answer has arrived, or the connection has failed before it."""
@@ -354,6 +359,20 @@
             )
         return protocol
 
+    async def is_refused(self, address: Address, port: int) -> bool:
+        """Returns whether a new connection is refused; one that is accepted is kept.
+
+        Without an answer it is not known, so False is returned.
+        """
+        try:
+            connection = await self.open(address, port)
+        except (ConnectionRefusedError, ConnectionResetError):
+            return True
+        except OSError:
+            return False
+        self.release(address, port, connection)
+        return False
+
     def release(self, address: Address, port: int, connection: Connection) -> None:
         """Keeps a connection for later requests if it can be reused, and closes it otherwise."""
         idle = self._idle.setdefault((address, port), deque())
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -72,10 +72,14 @@
         self._server = await asyncio.start_server(self._serve, self.host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
-    def close(self) -> None:
-        """Stops listening and resets all connections."""
+    def stop_listening(self) -> None:
+        """Refuses new connections; open ones are kept."""
         if self._server is not None:
             self._server.close()
+
+    def close(self) -> None:
+        """Stops listening and resets all connections."""
+        self.stop_listening()
         for writer in self.open_connections:
             writer.transport.abort()
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -63,6 +63,33 @@
         status, _, body = await self.send_request(gateway, request("/order/1", "POST"))
         self.assertEqual((status, body), (200, b"all of it"))
 
+    async def _end_within_answer(self, body: bytes) -> tuple[int, dict[str, str], bytes]:
+        """Returns the answer of an endpoint that ends after a part of one without a length."""
+
+        async def script(received: ReceivedRequest) -> bytes:
+            identifier = received.headers["request-id"]
+            head = f"HTTP/1.1 200 OK\r\nRequest-Id: {identifier}\r\nResponse-Signature: s\r\n\r\n"
+            endpoint.stop_listening()
+            received.writer.write(head.encode() + body)
+            await received.writer.drain()
+            received.writer.write_eof()
+            await asyncio.sleep(5)
+            return b""
+
+        endpoint = await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        return await self.send_request(gateway, request("/order/1", "POST"))
+
+    async def test_answer_without_length_of_an_endpoint_that_ended_is_taken_for_whole(self) -> None:
+        status, headers, _ = await self._end_within_answer(b"only a part")
+        self.assertEqual(status, 502)
+        self.assertNotIn("response-signature", headers)
+
+    async def test_large_answer_without_length_of_an_endpoint_that_ended_is_ended(self) -> None:
+        with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
+            await self._end_within_answer(b"x" * 2_000_000)
+
     async def test_caller_sees_that_a_large_answer_is_truncated(self) -> None:
         async def script(received: ReceivedRequest) -> bytes:
             answer = build_answer(received, 200, b"x" * 3_000_000)
