A request that a stopping daemon can't see through is refused unsent

Report of other operators: in a planned stop, requests that came late in the grace period were passed on and cut at its end without an answer, among them requests that may not be repeated.

Cause: a draining daemon passed everything on with its whole deadline, up to the last moment. Evidence: the test, in which the last bytes of three requests arrive 3.3 s after the stop began, each with a deadline after the end of the process: before, all three connections ended without an answer (0 bytes). A second fault in the same path: a request whose head was still arriving at 3 s did not count as work, so an idle daemon ended at once and cut it (the second test, which failed with 0 bytes as well), and so did the rest of an answer that its caller had not read yet. With a grace period of 3 s or less the daemon was killed while it listened.

Change (steering/draining.py): while the daemon listens, a request is passed on if three times the mean processing time of its service is left, later if its whole time is; others are refused with 503, which is true as they are not sent. Deadlines that are passed on end before the process. It listens for half of a short grace period. The drain waits for requests that are being read and answers that are being sent.

--- a/lycheepin/errors.py
+++ b/lycheepin/errors.py
@@ -29,6 +29,7 @@
     NO_CAPACITY = "no_capacity"
     ENDPOINTS_LIMITED = "endpoints_limited"
     QUARANTINED = "quarantined"
+    DRAINING = "draining"
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     SHIFT_CAP = "shift_cap"
@@ -69,6 +70,7 @@
         503, Outcome.NOT_RUN, "the endpoints take no more a second"
     ),
     ErrorKind.QUARANTINED: Answer(503, Outcome.NOT_RUN, "endpoints crashed under this request"),
+    ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, "the daemon is about to stop"),
     ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, "too many requests are waiting"),
     ErrorKind.DEADLINE: Answer(503, Outcome.NOT_RUN, "the deadline can't be met"),
     ErrorKind.SHIFT_CAP: Answer(503, Outcome.NOT_RUN, "the cap on shifts is reached"),
--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -229,6 +229,11 @@
         """Whether no request is being read, queued or handled."""
         return self._current is None and not self._queue and self.head_since_s is None
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of an answer waits for the caller to read."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
     def close_if_idle(self) -> None:
         """Closes the connection if it is idle."""
         if self.is_idle and self._transport is not None:
@@ -297,6 +302,13 @@
         for server in self._servers:
             server.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being read, queued, handled or answered on any connection."""
+        return any(
+            not connection.is_idle or connection.has_unsent_bytes for connection in self.connections
+        )
+
     def close_idle_connections(self) -> None:
         """Closes all idle connections."""
         for connection in list(self.connections):
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -26,6 +26,7 @@
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.dispatch import Dispatcher
+from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
@@ -40,8 +41,6 @@
 # three times as long, so a draining daemon accepts connections until then.
 LOOKUP_LIFETIME_S = 1.0
 MAX_CACHED_LIFETIMES = 3
-# Part of the grace period, in seconds, that is reserved for the process to exit.
-EXIT_MARGIN_S = 0.5
 # Timeout in seconds for connecting to an endpoint; a round trip between regions takes 0.08 s.
 CONNECT_TIMEOUT_S = 0.5
 # Interval in seconds of the checks whether a draining daemon has requests in flight.
@@ -261,16 +260,17 @@
         Ends before the grace period does, even if requests are still running.
         """
         self.draining = True
-        started_s = self._loop.time()
-        end_s = started_s + self.settings.grace_s - EXIT_MARGIN_S
+        drain = DrainSchedule.from_grace(
+            self._loop.time(), self.settings.grace_s, MAX_CACHED_LIFETIMES * LOOKUP_LIFETIME_S
+        )
         self._caller_listener.closing = True
-        self._handler.draining = True
+        self._handler.drain = drain
         self.log.write("draining", in_flight=self._caller_listener.in_flight)
         deregistration = self._loop.create_task(self._platform.deregister())
-        await asyncio.sleep(MAX_CACHED_LIFETIMES * LOOKUP_LIFETIME_S)
+        await asyncio.sleep(drain.listens_until_s - self._loop.time())
         self._caller_listener.stop_listening()
         self._caller_listener.close_idle_connections()
-        while self._caller_listener.in_flight and self._loop.time() < end_s:
+        while self._caller_listener.is_busy and self._loop.time() < drain.ends_s:
             await asyncio.sleep(DRAIN_CHECK_S)
         deregistration.cancel()
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -22,6 +22,7 @@
     SelectedEndpoint,
     WeighedEndpoint,
 )
+from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.progress import (
@@ -50,8 +51,8 @@
 class RequestHandler:
     """Handles the requests of all callers of one daemon.
 
-    Requests are refused until `table` is set. While `draining` is true, attempts at unresponsive
-    endpoints are not abandoned.
+    Requests are refused until `table` is set. While the daemon drains, `drain` has the times of the
+    drain; attempts at unresponsive endpoints are then not abandoned.
     """
 
     def __init__(
@@ -83,7 +84,7 @@
             lambda: RetryBudgetShare(self._budget_limits)
         )
         self.table: RoutingTable | None = None
-        self.draining = False
+        self.drain: DrainSchedule | None = None
 
     def apply_budget_limits(self, budget_limits: BudgetLimits) -> None:
         """Applies changed budget settings; retries already used still count."""
@@ -169,6 +170,9 @@
             if quarantined is not None:
                 self._refuse_quarantined(request, progress, quarantined)
                 return
+            if not self._prepare_while_draining(progress, loop.time()):
+                self._finish_with_error(request, progress, ErrorKind.DRAINING, None)
+                return
             choice = self._dispatcher.choose_endpoint(
                 progress.build_requirements(), spec, loop.time()
             )
@@ -191,6 +195,16 @@
                 self._finish_with_error(request, progress, outcome.kind, None)
             return
 
+    def _prepare_while_draining(self, progress: RequestProgress, now_s: float) -> bool:
+        """Returns whether an attempt may start; while draining, limits the request's deadline."""
+        if self.drain is None:
+            return True
+        processing_s = self._registry.mean_processing_s(progress.service)
+        if not self.drain.allows_attempt(now_s, progress.deadline_s, processing_s):
+            return False
+        progress.deadline_s = min(progress.deadline_s, self.drain.answers_until_s)
+        return True
+
     def _refuse_quarantined(
         self, request: IncomingRequest, progress: RequestProgress, quarantined: Quarantined
     ) -> None:
@@ -303,7 +317,7 @@
         retry_share = self._retry_shares[progress.service]
         now_s = asyncio.get_running_loop().time()
         slack_fraction = self._carriers.slack_fraction(now_s)
-        return not self.draining and progress.may_abandon_attempt(
+        return self.drain is None and progress.may_abandon_attempt(
             endpoint, self._dispatcher, retry_share, slack_fraction, now_s
         )
 
