Suspicions that the store loses are written again by any daemon, and no longer than they live

Found by reading, while the exchange was modelled: entries that the store lost were written again by their first writer only, so with that daemon gone one that starts later would send the request again; and the writer also wrote its entries again when their lease ended in time, so they never ended and suspicions were never forgotten. Callers would have seen the first as another round of crashes.

Now every daemon keeps what the store has and writes again what is missing before its lease could have ended (240 of at least 300 s); a time of its own up to 2 s, in which another daemon's write counts, keeps the writes few. Two tests: the entries come back though their writer has ended, and stay away after the end of their lease; the first failed before by waiting in vain.

--- a/lycheepin/gateway/suspicion_writer.py
+++ b/lycheepin/gateway/suspicion_writer.py
@@ -7,10 +7,12 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+from hashlib import blake2b
 from itertools import islice
 
 from lycheepin.gateway.storage import Lease, LeaseEnded, Store, StoreFailure
+from lycheepin.names import DaemonName
 from lycheepin.steering.suspects import Suspicion
 
 __all__ = ["SuspicionWriter"]
@@ -23,9 +25,14 @@
 WRITE_PAUSE_S = 0.2
 MIN_RETRY_PAUSE_S = 0.25
 MAX_RETRY_PAUSE_S = 1.0
+# Age in seconds up to which an entry that is missing was lost: its lease could not have ended. The
+# daemons that write it again spread over RESTORATION_SPREAD_S seconds.
+MAX_RESTORED_AGE_S = 240.0
+RESTORATION_SPREAD_S = 2.0
 # Most suspicions in one write, and most that wait to be written or are kept for a restored store.
 MAX_WRITTEN = 32
 MAX_WAITING = 512
+_HASH_RANGE = 2**64
 
 
 @dataclass(frozen=True)
@@ -38,46 +45,59 @@
 
 
 class SuspicionWriter:
-    """Writes suspicions to the store; `encode_entry` returns the key and the value of one.
+    """Writes suspicions to the store, and writes those again that the store has lost.
 
-    The last ones that were written are kept, to be written again when the store loses them.
+    `encode_entry` returns the key and the value of a suspicion. Any daemon may write a lost one,
+    since its first writer may have ended; each waits for a time of its own, so that few do.
     """
 
     def __init__(
-        self, store: Store, encode_entry: Callable[[Suspicion], tuple[str, bytes]]
+        self,
+        store: Store,
+        encode_entry: Callable[[Suspicion], tuple[str, bytes]],
+        own: DaemonName,
     ) -> None:
         self._store = store
         self._encode_entry = encode_entry
+        self._own = own
         self._lease: Lease | None = None
         self._lease_granted_s = 0.0
         self._waiting: dict[str, _Entry] = {}
-        self._written: dict[str, _Entry] = {}
+        self._stored: dict[str, _Entry] = {}
         self._added = asyncio.Event()
 
     def publish(self, suspicion: Suspicion, delay_s: float = 0.0) -> None:
         """Writes a suspicion after a delay; it is dropped if too many are waiting."""
         key, value = self._encode_entry(suspicion)
         if len(self._waiting) < MAX_WAITING or key in self._waiting:
-            due_s = asyncio.get_running_loop().time() + delay_s
-            self._waiting[key] = _Entry(value, suspicion.refuted, due_s)
+            self._waiting[key] = _Entry(value, suspicion.refuted, self._now_s() + delay_s)
             self._added.set()
 
-    def drop(self, suspicion: Suspicion) -> None:
-        """Writes nothing more about a suspicion, as another daemon has."""
-        key, _ = self._encode_entry(suspicion)
-        self._waiting.pop(key, None)
-        self._written.pop(key, None)
+    def observe(self, suspicion: Suspicion) -> None:
+        """Notes that the store has a suspicion, so that it need not be written."""
+        key, value = self._encode_entry(suspicion)
+        waiting = self._waiting.get(key)
+        if waiting is not None and (suspicion.refuted or waiting.value == value):
+            del self._waiting[key]
+        if suspicion.refuted:
+            self._stored.pop(key, None)
+        elif key not in self._stored:
+            self._keep(key, _Entry(value, False, self._now_s()))
 
     def restore(self, key: str) -> None:
-        """Writes an entry of this daemon again that the store has lost."""
-        entry = self._written.pop(key, None)
-        if entry is not None and not entry.refuted:
-            self._waiting.setdefault(key, entry)
-            self._added.set()
+        """Writes an entry again that the store has lost before its lease could end."""
+        entry = self._stored.pop(key, None)
+        now_s = self._now_s()
+        if entry is None or entry.refuted or now_s - entry.due_s >= MAX_RESTORED_AGE_S:
+            return
+        digest = blake2b(f"{self._own}\0{key}".encode(), digest_size=8).digest()
+        delay_s = RESTORATION_SPREAD_S * int.from_bytes(digest) / _HASH_RANGE
+        self._waiting.setdefault(key, replace(entry, due_s=now_s + delay_s))
+        self._added.set()
 
     def restore_missing(self, listed: frozenset[str]) -> None:
-        """Writes the entries of this daemon again that a complete listing lacks."""
-        for key in [key for key in self._written if key not in listed]:
+        """Writes the entries again that a complete listing lacks."""
+        for key in [key for key in self._stored if key not in listed]:
             self.restore(key)
 
     async def run(self) -> None:
@@ -125,11 +145,15 @@
         for key, entry in entries.items():
             if self._waiting.get(key) is entry:
                 del self._waiting[key]
-            self._written[key] = entry
-        while len(self._written) > MAX_WAITING:
-            del self._written[next(iter(self._written))]
+            self._keep(key, entry)
         return True
 
+    def _keep(self, key: str, entry: _Entry) -> None:
+        """Keeps an entry that the store has, for the case that it loses it."""
+        self._stored[key] = entry
+        if len(self._stored) > MAX_WAITING:
+            del self._stored[next(iter(self._stored))]
+
     async def _find_lease(self) -> Lease | None:
         """Returns the lease of new suspicions; None if the store grants none."""
         now_s = asyncio.get_running_loop().time()
@@ -139,3 +163,8 @@
                 return None
             self._lease, self._lease_granted_s = lease, now_s
         return self._lease
+
+    @staticmethod
+    def _now_s() -> float:
+        """Returns the event loop's time, in seconds."""
+        return asyncio.get_running_loop().time()
--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/gateway/suspicions.py
@@ -33,8 +33,8 @@
     def publish(self, suspicion: Suspicion, delay_s: float = 0.0) -> None:
         """Tells the other daemons after a delay in seconds."""
 
-    def drop(self, suspicion: Suspicion) -> None:
-        """Tells them nothing more about a suspicion."""
+    def observe(self, suspicion: Suspicion) -> None:
+        """Notes that all daemons are told of a suspicion already."""
 
 
 class SuspicionExchange:
@@ -84,10 +84,10 @@
     def apply_suspicion(self, suspicion: Suspicion) -> None:
         """Applies what a daemon has written about a suspicion."""
         now_s = asyncio.get_running_loop().time()
+        if self.publisher is not None:
+            self.publisher.observe(suspicion)
         if suspicion.refuted:
             self._suspects.refute(suspicion)
-            if self.publisher is not None:
-                self.publisher.drop(suspicion)
             return
         if self._suspects.was_served(suspicion.fingerprint, now_s):
             self._refute_spread(suspicion)
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -67,7 +67,7 @@
 
         self._registration = Registration(store, gateway.replica, key, encode_entry, record.name)
         gateway.state.on_daemon_removed = self._registration.observe_removal
-        suspicions = SuspicionWriter(store, encode_suspicion)
+        suspicions = SuspicionWriter(store, encode_suspicion, record.name)
         gateway.suspicions.publisher = suspicions
         gateway.state.on_suspicion_removed = suspicions.restore
         gateway.state.on_suspicions_listed = suspicions.restore_missing
--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from unittest.mock import patch
 
+from lycheepin.gateway import suspicion_writer
 from lycheepin.gateway.process import Gateway
 from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
-from tests.gateway.deployment import DeploymentCase, request
+from tests.gateway.deployment import DeploymentCase, configuration, request
 
 # The time after the third crash from which arrivals count, and how many of them are allowed.
 SETTLE_S = 4.0
@@ -130,14 +132,36 @@
         await self._crash_three(gateways[0])
         await self._wait_until_quarantined(*gateways)
         with self.subTest("leases ran out"):
-            for lease in {i["lease"] for k, i in self.store.items.items() if "suspicions" in k}:
+            for lease in self._find_leases():
                 self.store.end_lease(lease)
             await self.wait_until(lambda: self._count_entries() >= CRASHES)
         with self.subTest("restored from a copy"):
             self.store.restore(stored)
             await self.wait_until(lambda: self._count_entries() >= CRASHES)
+        with self.subTest("leases ran out after the daemon that wrote them had ended"):
+            gateways[0].stop()
+            await self.wait_until(lambda: len(gateways[1].directory.names) == 1)
+            for lease in self._find_leases():
+                self.store.end_lease(lease)
+            await self.wait_until(lambda: self._count_entries() >= CRASHES)
         self.assertTrue(all(gateway.suspects.quarantined for gateway in gateways))
 
+    async def test_entries_whose_lease_ended_in_time_are_not_written_again(self) -> None:
+        await self.add_crashing_endpoints(8)
+        (gateway,) = await self.add_gateways(1)
+        await self._crash_three(gateway)
+        await self.wait_until(lambda: self._count_entries() >= CRASHES)
+        with patch.object(suspicion_writer, "MAX_RESTORED_AGE_S", 0.0):
+            for lease in self._find_leases():
+                self.store.end_lease(lease)
+            self.store.put("op/config", configuration(2))
+            await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 2)
+        await asyncio.sleep(0)
+        self.assertEqual(self._count_entries(), 0)
+
+    def _find_leases(self) -> set[int]:
+        return {i["lease"] for key, i in self.store.items.items() if "suspicions" in key}
+
     async def test_malformed_entries_are_left_out(self) -> None:
         await self.add_crashing_endpoints(1)
         for number, value in enumerate(({}, [], {"fingerprint": 1}, b"\xff", {"refuted": False})):
--- a/tests/gateway/test_suspicions.py
+++ b/tests/gateway/test_suspicions.py
@@ -31,7 +31,7 @@
     def publish(self, suspicion: Suspicion, delay_s: float = 0.0) -> None:
         self.published.append(suspicion)
 
-    def drop(self, suspicion: Suspicion) -> None:
+    def observe(self, suspicion: Suspicion) -> None:
         self.published = [other for other in self.published if other != suspicion]
 
 
