A refutation is written again when the suspicion comes back from a daemon that missed it

Found by the model of the exchange (9 steps): a daemon served a request and refuted its suspicions, the store lost all entries, another daemon that had not read the refutation wrote the suspicions again, and the first one, for which they were settled, said nothing. The request stayed in quarantine at the others although it had been served. A daemon that knows a suspicion to be refuted now repeats that. The test failed before.

--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/gateway/suspicions.py
@@ -89,7 +89,9 @@
         if suspicion.refuted:
             self._suspects.refute(suspicion)
             return
-        if self._suspects.was_served(suspicion.fingerprint, now_s):
+        if self._suspects.was_refuted(suspicion) or self._suspects.was_served(
+            suspicion.fingerprint, now_s
+        ):
             self._refute_spread(suspicion)
         elif self._suspects.observe_crash(suspicion, now_s):
             self._registry.observe_crash(suspicion.process.id, suspicion.process.started_ms, now_s)
@@ -109,9 +111,9 @@
                 self._publish(suspicion)
 
     def _refute_spread(self, suspicion: Suspicion) -> None:
-        """Refutes a suspicion of another daemon against a request that this one served lately.
+        """Refutes a suspicion of another daemon that this one knows to be wrong.
 
-        Many daemons may have served it, so each waits for a time of its own whether another one
+        Many daemons may know it, so each waits for a time of its own whether another one
         writes the refutation; in quarantine the first one counts.
         """
         refutation = Suspicion(suspicion.fingerprint, suspicion.process, refuted=True)
--- a/lycheepin/steering/suspects.py
+++ b/lycheepin/steering/suspects.py
@@ -129,6 +129,10 @@
         suspect = self._suspects.get(suspicion.fingerprint)
         return suspect is not None and suspicion.process in suspect.crashes
 
+    def was_refuted(self, suspicion: Suspicion) -> bool:
+        """Returns whether a suspicion is known to be refuted."""
+        return (suspicion.fingerprint, suspicion.process) in self._refuted
+
     def was_served(self, fingerprint: Fingerprint, now_s: float) -> bool:
         """Returns whether an endpoint served a request lately, so that it can't be deadly."""
         return now_s - self._served_s.get(fingerprint, -inf) < SERVED_PROOF_S
@@ -137,7 +141,7 @@
         """Adds a suspicion, or notes that it was repeated; returns whether it is new."""
         self._forget_expired(now_s)
         fingerprint, process = suspicion.fingerprint, suspicion.process
-        if (fingerprint, process) in self._refuted:
+        if self.was_refuted(suspicion):
             return False
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
--- a/tests/gateway/test_suspicions.py
+++ b/tests/gateway/test_suspicions.py
@@ -1,12 +1,14 @@
 import asyncio
 import time
 import unittest
+from unittest.mock import patch
 
 from logbook import NullHandler
 
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.steering import suspects
 from lycheepin.steering.endpoint import Endpoint, EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.suspects import (
@@ -109,3 +111,12 @@
         for refutation in list(self.publisher.published):
             self.exchange.apply_suspicion(refutation)
         self.assertEqual(self.publisher.published, [])
+
+    async def test_refutation_is_repeated_when_a_suspicion_comes_back(self) -> None:
+        await self._crash_endpoints()
+        self.exchange.observe_served(POPULAR)
+        self.publisher.published.clear()
+        suspicion = Suspicion(POPULAR, EndpointProcess(EndpointId("e0"), 1))
+        with patch.object(suspects, "SERVED_PROOF_S", 0.0):
+            self.exchange.apply_suspicion(suspicion)
+        self.assertEqual([s.refuted for s in self.publisher.published], [True])
