An entry nested without end, or with an impossible port, no longer ends the daemons that read it

What callers would have seen: a value of 100,000 brackets under servers/ raised RecursionError, which is not among the errors of malformed JSON; the task that follows the store ended, the daemon stopped, started again, read the entry again; so did every other one. An address with port 65536 named an endpoint to use, and a connection to it raises OverflowError, which no attempt expects; in a daemon's entry it would have ended the task that follows it.

Evidence: two tests of the gateway, which failed by waiting in vain and with four unusable endpoints. Change: RecursionError counts as malformed everywhere (configuration, plans and VM lists of the project's own interface use the same list), and an address has a port from 1 to 65535. A test that built an entry with port 0 has port 80 now.

--- a/lycheepin/errors.py
+++ b/lycheepin/errors.py
@@ -7,8 +7,15 @@
 
 __all__ = ["ANSWERS", "DECODE_ERRORS", "Answer", "ErrorKind", "Fault", "Outcome"]
 
-# Exceptions that reading the fields of a malformed JSON value can raise.
-DECODE_ERRORS = (ValueError, KeyError, TypeError, AttributeError, OverflowError)
+# Exceptions that reading a malformed JSON value and its fields can raise.
+DECODE_ERRORS = (
+    ValueError,
+    KeyError,
+    TypeError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
 
 
 class Outcome(Enum):
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -9,6 +9,8 @@
 
 __all__ = ["GatewaySettings", "SocketAddress"]
 
+MAX_PORT = 65_535
+
 
 @dataclass(frozen=True)
 class SocketAddress:
@@ -21,6 +23,8 @@
     def parse(cls, text: str) -> SocketAddress:
         """Returns the address written as `host:port`; raises ValueError if malformed."""
         host, _, port = text.rpartition(":")
+        if not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"not a port from 1 to {MAX_PORT}: {port!r}")
         return cls(Address(host), int(port))
 
     def __str__(self) -> str:
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -15,7 +15,7 @@
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.routes import (
     CallerLimits,
@@ -223,13 +223,13 @@
     if document["state"] not in (_READY, _DRAINING):
         raise ValueError(f"unknown state: {document['state']!r}")
     zone = ZoneName(_require_string(document["zone"]))
-    host, _, port = _require_string(document["address"]).rpartition(":")
+    address = SocketAddress.parse(_require_string(document["address"]))
     cold_ms = document["coldRemainingMs"]
     return EndpointRecord(
         id=EndpointId(name),
         service=ServiceName(_require_string(document["service"])),
-        address=Address(host),
-        port=int(port),
+        address=address.host,
+        port=address.port,
         zone=zone,
         region=zones[zone],
         slots=_require_int(document["slots"], 1),
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -220,3 +220,35 @@
         await self.wait_until(lambda: gateway.log.counts.get("peer_refused", 0) >= 2)
         self.assertFalse(gateway.ready)
         self.assertEqual(before.get("fault"), foreign_gateway.log.counts.get("fault"))
+
+
+class EntryThatEndsEachDaemonThatReadsIt(DeploymentCase):
+    """An entry of another writer stops its reader, and the next one after it."""
+
+    async def test_daemon_reads_on_after_entries_that_are_nested_without_end(self) -> None:
+        gateway = await self.add_gateway()
+        await self.wait_until(lambda: gateway.ready)
+        nested = b"[" * 100_000
+        for key in ("servers/x", "lycheepin/daemons/x", "lycheepin/suspicions/x", "op/config"):
+            self.store.put(key, nested)
+        self.store.put("op/config", configuration(2))
+        await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 2)
+
+    async def test_entries_whose_address_has_no_possible_port_name_nothing_to_use(self) -> None:
+        await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        entry = self.endpoints[0].build_entry("north-1")
+        peer = {"incarnation": 1, "zone": "north-1", "region": "north", "link_mbps": 1e9}
+        for port in (0, -1, 65_536, 10**9):
+            self.store.put(f"servers/port{port}", entry | {"address": f"127.0.0.1:{port}"})
+            address = f"127.0.0.1:{port}"
+            self.store.put(
+                f"lycheepin/daemons/{port}", peer | {"front": address, "control": address}
+            )
+        self.store.put("op/config", configuration(2))
+        await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 2)
+        self.assertEqual([endpoint.record.id for endpoint in gateway.registry.all()], ["a"])
+        self.assertEqual(gateway.directory.names, ("daemon-1",))
+        self.store.put("op/config", configuration(3))
+        await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 3)
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -57,7 +57,8 @@
         )
 
     def test_endpoint_entry_needs_a_whole_number_as_its_sequence(self) -> None:
-        entry = EndpointStandIn("10.0.0.1").build_entry("north-1", sequence=4)
+        address = "10.0.0.1:80"
+        entry = EndpointStandIn("").build_entry("north-1", sequence=4, address=address)
         decoded = self._decode("servers/a", entry)
         assert isinstance(decoded, EndpointEntry)
         self.assertEqual(decoded.record.sequence, 4)
