Soak: a request that crashes endpoints comes to one daemon after another

Five gateways as processes; the request is one of the faults and overlaps with kills, stops, cuts and outages of the store.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,8 +7,10 @@
 from collections.abc import Awaitable, Callable
 
 from soak.daemons import Daemon
+from soak.ledger import SentRequest
 from soak.proxy import ProxyMode
-from soak.world import DESK, FILES, LARGE_ROUTE_COUNT, ZONES, Deployment
+from soak.world import DEADLY_PATH, DESK, FILES, LARGE_ROUTE_COUNT, ZONES, Deployment
+from standins.messages import request
 
 __all__ = ["FAULTS", "Fault"]
 
@@ -19,6 +21,10 @@
 # Maximum number of times that a repeated fault occurs, and the mean pause after each.
 MAX_REPETITIONS = 3
 REPETITION_PAUSE_S = 0.8
+# Requests of one kind that crash endpoints, the pause after each, and the wait for an answer.
+DEADLY_REQUESTS = 30
+DEADLY_PAUSE_S = 0.25
+DEADLY_ANSWER_S = 2.0
 FAILURE_MODES = ("sheds", "resets", "cuts", "repeats", "spoils", "silent", "slow")
 # Versions written by storm_configurations, and the pause after each.
 STORM_VERSIONS = 5
@@ -206,6 +212,44 @@
     deployment.store.delete(f"servers/{endpoint.name}")
 
 
+async def send_deadly_requests(deployment: Deployment) -> None:
+    """Sends a request that crashes endpoints to one daemon after another."""
+    number = deployment.random.randrange(1_000_000)
+    for attempt in range(DEADLY_REQUESTS):
+        daemon = _pick_daemon(deployment)
+        identifier = f"d{number}-{attempt}"
+        path = f"/read{DEADLY_PATH}{number}"
+        deployment.ledger.record_request(
+            SentRequest(
+                identifier,
+                daemon.name,
+                "GET",
+                path,
+                b"",
+                False,
+                frozenset({DESK}),
+                deployment.now_s(),
+            ),
+            is_probe=True,
+        )
+        await _send_unread(daemon, request(path, "GET", identifier))
+        await asyncio.sleep(DEADLY_PAUSE_S)
+
+
+async def _send_unread(daemon: Daemon, content: bytes) -> None:
+    """Sends a request on a new connection, and waits a moment for its answer, which is not read."""
+    try:
+        async with asyncio.timeout(DEADLY_ANSWER_S):
+            reader, writer = await asyncio.open_connection(
+                daemon.listener_address.host, daemon.listener_address.port
+            )
+            writer.write(content)
+            await reader.read(1)
+            writer.transport.abort()
+    except (OSError, TimeoutError):
+        return  # the daemon is down, or slow
+
+
 async def reuse_address(deployment: Deployment) -> None:
     """Reuses an endpoint's address for the other service before its entry is deleted."""
     endpoint = deployment.endpoints[deployment.random.choice(sorted(deployment.endpoints))]
@@ -254,6 +298,7 @@
     reset_connections,
     drain_endpoint,
     crash_endpoint,
+    send_deadly_requests,
     reuse_address,
     change_configuration,
     storm_configurations,
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import Counter, defaultdict
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from soak.daemons import BOUNDS
@@ -22,6 +23,11 @@
 DRAIN_LIMIT_S = 2.5
 CONFIGURATION_LIMIT_S = 2.5
 ANSWER_MARGIN_S = 0.5
+# A request that crashes endpoints: how many crashes make it known, the time until all daemons know
+# it, and how often it may run after that.
+CRASHES_TO_KNOW = 3
+KNOWLEDGE_LIMIT_S = 4.0
+MAX_LATE_CRASHES = 3
 # Time limits are checked only for intervals without a fault in them or in this time before them.
 RECOVERY_MARGIN_S = 4.0
 
@@ -72,6 +78,8 @@
         self._retry_times_s: defaultdict[str, list[float]] = defaultdict(list)
         self._highest_versions: defaultdict[tuple[str, int], int] = defaultdict(int)
         self._configuration_times_s: dict[int, float] = {}
+        self._crash_times_s: defaultdict[str, list[float]] = defaultdict(list)
+        self._late_crashes: Counter[str] = Counter()
         self.violations: list[Violation] = []
         self.request_count = 0
         self.outcomes: Counter[str] = Counter()
@@ -139,6 +147,20 @@
                 "drain", f"{identifier} ran at {endpoint} {now_s - leaving_s:.2f} s after it left"
             )
 
+    def record_crash(self, identifier: str, now_s: float) -> None:
+        """Records that a request has crashed the endpoint that began to run it."""
+        sent_request = self._histories[identifier].sent_request
+        path = sent_request.path
+        self._crash_times_s[path].append(now_s)
+        known_s = self._crash_times_s[path][:CRASHES_TO_KNOW][-1] + KNOWLEDGE_LIMIT_S
+        if now_s <= known_s or self._had_fault((sent_request.daemon, "store"), known_s, now_s):
+            return
+        self._late_crashes[path] += 1
+        if self._late_crashes[path] > MAX_LATE_CRASHES:
+            self._report_time_limit_violation(
+                "deadly", f"{path} crashed {len(self._crash_times_s[path])} endpoints"
+            )
+
     def record_complete_answer(self, identifier: str) -> None:
         """Records that an endpoint has sent a complete answer."""
         history = self._histories.get(identifier)
@@ -270,9 +292,13 @@
 
     def _is_undisturbed(self, daemon: str, since_s: float, until_s: float) -> bool:
         """Returns whether no fault affected a daemon during an interval or shortly before it."""
-        return not any(
+        return not self._had_fault((daemon, "store", "endpoints"), since_s, until_s)
+
+    def _had_fault(self, scopes: Iterable[str], since_s: float, until_s: float) -> bool:
+        """Returns whether a fault of some scopes occurred in an interval or shortly before it."""
+        return any(
             since_s - RECOVERY_MARGIN_S <= fault_s <= until_s
-            for scope in (daemon, "store", "endpoints")
+            for scope in scopes
             for fault_s in self._fault_times_s[scope]
         )
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -21,7 +21,15 @@
 from standins.metadata import MetadataStandIn, StoreCopy
 from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
 
-__all__ = ["DESK", "FILES", "LARGE_ROUTE_COUNT", "ROUTE_TIMEOUT_S", "ZONES", "Deployment"]
+__all__ = [
+    "DEADLY_PATH",
+    "DESK",
+    "FILES",
+    "LARGE_ROUTE_COUNT",
+    "ROUTE_TIMEOUT_S",
+    "ZONES",
+    "Deployment",
+]
 
 # Availability zones and their regions.
 ZONES = {"z0": "r0", "z1": "r0", "z2": "r1", "z3": "r1"}
@@ -34,6 +42,9 @@
 # Minimum processing time of a request, and the maximum that is added at random.
 PROCESSING_S = 0.02
 PROCESSING_SPREAD_S = 0.02
+# Part of the path of requests that crash endpoints, and the time until a crashed one is replaced.
+DEADLY_PATH = "/deadly-"
+CRASH_S = 1.0
 # Number of routes in a large configuration.
 LARGE_ROUTE_COUNT = 600
 # Interval of the checks for ended processes, which delays a restart as the platform does.
@@ -80,6 +91,7 @@
         self._started_endpoint_count = 0
         self._entry_count = 0
         self._network_lock: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
 
     @staticmethod
     def now_s() -> float:
@@ -117,6 +129,8 @@
             daemon.send_signal(signal.SIGKILL)
             if daemon.process is not None:
                 daemon.process.wait()
+        for task in self._tasks:
+            task.cancel()
         for endpoint in self.endpoints.values():
             endpoint.proxy.close()
             endpoint.stand_in.close()
@@ -222,6 +236,15 @@
             endpoint.proxy.close()
             endpoint.stand_in.close()
 
+    async def _replace_crashed(self, endpoint: Endpoint) -> None:
+        """Stops an endpoint abruptly; another one starts later."""
+        self.ledger.record_fault("endpoints", self.now_s())
+        self.remove_endpoint(endpoint)
+        await asyncio.sleep(CRASH_S)
+        await self.add_endpoint(endpoint.service)
+        self.store.delete(f"servers/{endpoint.name}")
+        self.ledger.record_fault("endpoints", self.now_s())
+
     async def stop_daemon(self, daemon: Daemon) -> None:
         """Stops a daemon with SIGTERM, and kills it when it exceeds the grace period.
 
@@ -250,6 +273,10 @@
             return build_answer(received, 503, Not_Executed="1", Server_Load="1,0,4")
         content = (received.method, received.target, received.body)
         self.ledger.record_run(identifier, endpoint.name, endpoint.service, content, now_s)
+        if DEADLY_PATH in received.target:
+            self.ledger.record_crash(identifier, now_s)
+            self._tasks.add(asyncio.ensure_future(self._replace_crashed(endpoint)))
+            return b""
         if endpoint.failure_mode == "silent":
             await asyncio.sleep(60)
         slowdown = 10 if endpoint.failure_mode == "slow" else 1
