--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/gateway/suspicions.py
@@ -113,8 +113,8 @@
     def _refute_spread(self, suspicion: Suspicion) -> None:
         """Refutes a suspicion of another daemon that this one knows to be wrong.
 
-        Many daemons may know it, so each waits for a time of its own whether another one
-        writes the refutation; in quarantine the first one counts.
+        Many daemons may know it, so each waits for a time of its own, in which another one may
+        write the refutation.
         """
         refutation = Suspicion(suspicion.fingerprint, suspicion.process, refuted=True)
         self._suspects.refute(refutation)
