A crash soon after another break at the same endpoint is noticed

Found by reading: within a second after a connection broke at an endpoint that ran on, further breaks started no check, so a crash there was not noticed by this daemon, and the requests under it were not suspected. The test failed before (its endpoint breaks one connection and ends 0.2 s later). Now each break starts a check unless one is running, which is repeated for breaks that come meanwhile.

--- a/lycheepin/gateway/crash_detector.py
+++ b/lycheepin/gateway/crash_detector.py
@@ -34,8 +34,8 @@
     ) -> None:
         self._pool = pool
         self._on_crash = on_crash
-        self._broken: dict[EndpointProcess, set[Fingerprint]] = {}
-        self._checks: set[asyncio.Task[None]] = set()
+        self._broken: dict[EndpointProcess, dict[Fingerprint, float]] = {}
+        self._checks: dict[EndpointProcess, asyncio.Task[None]] = {}
 
     def observe_break(self, endpoint: Endpoint, fingerprint: Fingerprint) -> None:
         """Records a connection that broke under a request, and checks the endpoint."""
@@ -43,29 +43,47 @@
         if record.draining or endpoint.removed:
             return
         process = EndpointProcess(record.id, record.started_ms)
-        fingerprints = self._broken.setdefault(process, set())
-        fingerprints.add(fingerprint)
-        if len(fingerprints) == 1:
-            task = asyncio.create_task(self._check_endpoint(endpoint, process))
-            self._checks.add(task)
-            task.add_done_callback(self._checks.discard)
+        loop = asyncio.get_running_loop()
+        self._broken.setdefault(process, {})[fingerprint] = loop.time()
+        if process not in self._checks:
+            self._checks[process] = loop.create_task(self._check_endpoint(endpoint, process))
 
     def observe_end(self, endpoint: Endpoint) -> None:
         """Records that an endpoint refused a connection, or that another one has its address."""
         process = EndpointProcess(endpoint.record.id, endpoint.record.started_ms)
+        self._forget_breaks(process)
         fingerprints = self._broken.pop(process, None)
         if fingerprints:
             self._on_crash(process, frozenset(fingerprints))
 
     def close(self) -> None:
         """Cancels the checks that are running."""
-        for task in self._checks:
+        for task in self._checks.values():
             task.cancel()
 
     async def _check_endpoint(self, endpoint: Endpoint, process: EndpointProcess) -> None:
-        """Finds out whether an endpoint still accepts connections."""
-        if await self._pool.is_refused(endpoint.record.address, endpoint.record.port):
-            self.observe_end(endpoint)
-            return
-        await asyncio.sleep(BREAK_MEMORY_S)
-        self._broken.pop(process, None)
+        """Finds out whether an endpoint still accepts connections after the latest break."""
+        loop = asyncio.get_running_loop()
+        record = endpoint.record
+        try:
+            while True:
+                started_s = loop.time()
+                if await self._pool.is_refused(record.address, record.port):
+                    self.observe_end(endpoint)
+                    return
+                if max(self._broken.get(process, {}).values(), default=0.0) <= started_s:
+                    break
+        finally:
+            del self._checks[process]
+        loop.call_later(BREAK_MEMORY_S, self._forget_breaks, process)
+
+    def _forget_breaks(self, process: EndpointProcess) -> None:
+        """Forgets the breaks of a process that are too long ago."""
+        since_s = asyncio.get_running_loop().time() - BREAK_MEMORY_S
+        kept = {
+            fingerprint: broken_s
+            for fingerprint, broken_s in self._broken.pop(process, {}).items()
+            if broken_s > since_s
+        }
+        if kept:
+            self._broken[process] = kept
--- a/tests/gateway/test_suspicions.py
+++ b/tests/gateway/test_suspicions.py
@@ -1,6 +1,7 @@
 import asyncio
 import time
 import unittest
+from dataclasses import replace
 from unittest.mock import patch
 
 from logbook import NullHandler
@@ -37,8 +38,8 @@
         self.published = [other for other in self.published if other != suspicion]
 
 
-class PopularRequestIsBlamedForCrashesAtOnce(unittest.IsolatedAsyncioTestCase):
-    """Several endpoints that crash together have the same popular request in common."""
+class ExchangeCase(unittest.IsolatedAsyncioTestCase):
+    """Test case with the exchange of one daemon."""
 
     async def asyncSetUp(self) -> None:
         handler = NullHandler()
@@ -75,6 +76,10 @@
         assert endpoint is not None
         return endpoint
 
+
+class PopularRequestIsBlamedForCrashesAtOnce(ExchangeCase):
+    """Several endpoints that crash together have the same popular request in common."""
+
     async def _crash_endpoints(self) -> None:
         """Lets endpoints crash under the popular request, and waits until that is known."""
         endpoints = [self._add_ended_endpoint(number) for number in range(CRASHES_TO_QUARANTINE)]
@@ -120,3 +125,21 @@
         with patch.object(suspects, "SERVED_PROOF_S", 0.0):
             self.exchange.apply_suspicion(suspicion)
         self.assertEqual([s.refuted for s in self.publisher.published], [True])
+
+
+class CrashSoonAfterAnotherBreakIsMissed(ExchangeCase):
+    """An endpoint broke one connection and ran on, and crashed within a second of that."""
+
+    async def test_crash_is_noticed_although_the_endpoint_was_just_checked(self) -> None:
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), HOST, 0)
+        endpoint = self._add_ended_endpoint(0)
+        port = server.sockets[0].getsockname()[1]
+        endpoint.record = replace(endpoint.record, port=port)
+        self.exchange.detector.observe_break(endpoint, Fingerprint("other"))
+        await asyncio.sleep(0.2)
+        server.close()
+        self.exchange.detector.observe_break(endpoint, POPULAR)
+        async with asyncio.timeout(20):
+            while not endpoint.excluded_until_s:
+                await asyncio.sleep(0.01)
+        self.assertEqual(self.suspects.count_crashes(POPULAR), 1)
