One type for a process of an endpoint

The registry of endpoints had an alias for it, id and start, that the suspicions wrote again as a class of their own. It now stands in steering/endpoint.py, a record names its process, and both use that.

--- a/lycheepin/gateway/crash_detector.py
+++ b/lycheepin/gateway/crash_detector.py
@@ -8,8 +8,8 @@
 import asyncio
 from collections.abc import Callable
 
-from lycheepin.steering.endpoint import Endpoint
-from lycheepin.steering.suspects import EndpointProcess, Fingerprint
+from lycheepin.steering.endpoint import Endpoint, EndpointProcess
+from lycheepin.steering.suspects import Fingerprint
 from lycheepin.transport.connection import ConnectionPool
 
 __all__ = ["CrashDetector"]
@@ -42,7 +42,7 @@
         record = endpoint.record
         if record.draining or endpoint.removed:
             return
-        process = EndpointProcess(record.id, record.started_ms)
+        process = record.process
         loop = asyncio.get_running_loop()
         self._broken.setdefault(process, {})[fingerprint] = loop.time()
         if process not in self._checks:
@@ -50,7 +50,7 @@
 
     def observe_end(self, endpoint: Endpoint) -> None:
         """Records that an endpoint refused a connection, or that another one has its address."""
-        process = EndpointProcess(endpoint.record.id, endpoint.record.started_ms)
+        process = endpoint.record.process
         self._forget_breaks(process)
         fingerprints = self._broken.pop(process, None)
         if fingerprints:
--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/gateway/suspicions.py
@@ -9,10 +9,10 @@
 from lycheepin.gateway.crash_detector import CrashDetector
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.names import DaemonName
+from lycheepin.steering.endpoint import EndpointProcess
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.suspects import (
     CRASHES_TO_SEND_ONCE,
-    EndpointProcess,
     Fingerprint,
     Quarantined,
     SuspectRegistry,
@@ -94,13 +94,13 @@
         ):
             self._refute_spread(suspicion)
         elif self._suspects.observe_crash(suspicion, now_s):
-            self._registry.observe_crash(suspicion.process.id, suspicion.process.started_ms, now_s)
+            self._registry.observe_crash(suspicion.process, now_s)
             self._log_suspicion(suspicion, "peer")
 
     def _report_crash(self, process: EndpointProcess, fingerprints: frozenset[Fingerprint]) -> None:
         """Suspects the requests that this daemon had at an endpoint that crashed."""
         now_s = asyncio.get_running_loop().time()
-        self._registry.observe_crash(process.id, process.started_ms, now_s)
+        self._registry.observe_crash(process, now_s)
         self._log.write("endpoint_crashed", endpoint=process.id, requests=len(fingerprints))
         for fingerprint in sorted(fingerprints):
             suspicion = Suspicion(fingerprint, process)
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -16,7 +16,7 @@
 from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName, ZoneName
-from lycheepin.steering.endpoint import EndpointRecord
+from lycheepin.steering.endpoint import EndpointProcess, EndpointRecord
 from lycheepin.steering.routes import (
     CallerLimits,
     RequestKind,
@@ -25,7 +25,7 @@
     ServiceShare,
     ServiceSpec,
 )
-from lycheepin.steering.suspects import EndpointProcess, Fingerprint, Suspicion
+from lycheepin.steering.suspects import Fingerprint, Suspicion
 
 __all__ = [
     "DAEMON_PREFIX",
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -14,7 +14,7 @@
 
 from lycheepin.names import Address, EndpointId, RegionName, ServiceName, ZoneName
 
-__all__ = ["Endpoint", "EndpointRecord", "hash_endpoint"]
+__all__ = ["Endpoint", "EndpointProcess", "EndpointRecord", "hash_endpoint"]
 
 # Weight of the newest sample in an endpoint's moving averages.
 SMOOTHING = 0.3
@@ -38,6 +38,14 @@
     return blake2b(f"{endpoint_id}\0".encode(), digest_size=8)
 
 
+@dataclass(frozen=True)
+class EndpointProcess:
+    """One process of an endpoint; `started_ms` is its start in Unix milliseconds."""
+
+    id: EndpointId
+    started_ms: int
+
+
 @dataclass(frozen=True)
 class EndpointRecord:
     """An endpoint as registered in the store; `cold_s` is its remaining cold time in seconds.
@@ -57,6 +65,11 @@
     started_ms: int
     sequence: int = 0
 
+    @property
+    def process(self) -> EndpointProcess:
+        """The process that the endpoint runs in."""
+        return EndpointProcess(self.id, self.started_ms)
+
 
 @dataclass
 class Endpoint:
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -14,7 +14,7 @@
 from math import inf
 
 from lycheepin.names import EndpointId, RegionName, ServiceName, ZoneName
-from lycheepin.steering.endpoint import Endpoint, EndpointRecord
+from lycheepin.steering.endpoint import Endpoint, EndpointProcess, EndpointRecord
 
 __all__ = ["EndpointRegistry", "OrderChange"]
 
@@ -54,8 +54,6 @@
     present: bool
 
 
-# One process of an endpoint: its id and its start in Unix milliseconds.
-_Process = tuple[EndpointId, int]
 # Endpoints of one service with equal numbers of slots in one region have equal weights in orders.
 _Group = tuple[int, RegionName]
 
@@ -80,8 +78,8 @@
         self._removals_trusted_after_s = 0.0
         self._store_outage = False
         self._restored_until_s = -inf
-        self._removed: OrderedDict[_Process, int] = OrderedDict()
-        self._removed_before_copy: dict[_Process, int] = {}
+        self._removed: OrderedDict[EndpointProcess, int] = OrderedDict()
+        self._removed_before_copy: dict[EndpointProcess, int] = {}
         self._unlisted_evacuations: dict[ZoneName, float] = {}
         self.on_removed: Callable[[EndpointRecord], None] = lambda record: None
 
@@ -170,12 +168,11 @@
         current = self._endpoints.get(record.id)
         if self._had_left(record):
             return False
-        if current is None or current.record.started_ms != record.started_ms:
+        if current is None or current.record.process != record.process:
             if current is not None:
                 self._remove_endpoint(current)
-            process = (record.id, record.started_ms)
-            self._removed.pop(process, None)
-            self._removed_before_copy.pop(process, None)
+            self._removed.pop(record.process, None)
+            self._removed_before_copy.pop(record.process, None)
             endpoint = Endpoint(record)
             endpoint.cold_until_s = now_s + record.cold_s
             self._endpoints[record.id] = endpoint
@@ -218,10 +215,10 @@
         if endpoint is not None:
             self._remove_endpoint(endpoint)
 
-    def observe_crash(self, endpoint_id: EndpointId, started_ms: int, now_s: float) -> None:
-        """Excludes an endpoint whose process, started at `started_ms`, has crashed."""
-        endpoint = self._endpoints.get(endpoint_id)
-        if endpoint is not None and endpoint.record.started_ms == started_ms:
+    def observe_crash(self, process: EndpointProcess, now_s: float) -> None:
+        """Excludes an endpoint whose process has crashed, unless another one has started."""
+        endpoint = self._endpoints.get(process.id)
+        if endpoint is not None and endpoint.record.process == process:
             endpoint.observe_crash(now_s)
 
     def observe_store_outage(self) -> None:
@@ -299,7 +296,7 @@
         """Removes an endpoint and calls `on_removed`."""
         endpoint.removed = True
         record = endpoint.record
-        self._removed[(record.id, record.started_ms)] = record.sequence
+        self._removed[record.process] = record.sequence
         if len(self._removed) > MAX_REMOVED:
             self._removed.popitem(last=False)
         self._mark_missing(endpoint, None)
@@ -309,7 +306,7 @@
 
     def _had_left(self, record: EndpointRecord) -> bool:
         """Returns whether a record is not newer than the removal of its process before a copy."""
-        sequence = self._removed_before_copy.get((record.id, record.started_ms))
+        sequence = self._removed_before_copy.get(record.process)
         return sequence is not None and record.sequence <= sequence
 
     def _mark_missing(self, endpoint: Endpoint, since_s: float | None) -> None:
--- a/lycheepin/steering/suspects.py
+++ b/lycheepin/steering/suspects.py
@@ -15,10 +15,9 @@
 from math import inf
 from typing import NewType
 
-from lycheepin.names import EndpointId
+from lycheepin.steering.endpoint import EndpointProcess
 
 __all__ = [
-    "EndpointProcess",
     "Fingerprint",
     "Quarantined",
     "SuspectRegistry",
@@ -49,14 +48,6 @@
 MAX_SERVED = 4096
 
 
-@dataclass(frozen=True)
-class EndpointProcess:
-    """One process of an endpoint; `started_ms` is its start in Unix milliseconds."""
-
-    id: EndpointId
-    started_ms: int
-
-
 @dataclass(frozen=True)
 class Suspicion:
     """A request was being run or waiting at a process of an endpoint when that process crashed.
--- a/models/suspicions.py
+++ b/models/suspicions.py
@@ -16,9 +16,9 @@
 from minicheck import Protocol
 
 from lycheepin.names import EndpointId
+from lycheepin.steering.endpoint import EndpointProcess
 from lycheepin.steering.suspects import (
     CRASHES_TO_QUARANTINE,
-    EndpointProcess,
     Fingerprint,
     SuspectRegistry,
     Suspicion,
--- a/tests/gateway/test_suspicions.py
+++ b/tests/gateway/test_suspicions.py
@@ -10,11 +10,10 @@
 from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering import suspects
-from lycheepin.steering.endpoint import Endpoint, EndpointRecord
+from lycheepin.steering.endpoint import Endpoint, EndpointProcess, EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.suspects import (
     CRASHES_TO_QUARANTINE,
-    EndpointProcess,
     Fingerprint,
     SuspectRegistry,
     Suspicion,
--- a/tests/steering/test_suspects.py
+++ b/tests/steering/test_suspects.py
@@ -2,6 +2,7 @@
 
 from lycheepin.names import EndpointId
 from lycheepin.steering import suspects
+from lycheepin.steering.endpoint import EndpointProcess
 from lycheepin.steering.suspects import (
     CRASHES_TO_QUARANTINE,
     FIRST_PROBE_S,
@@ -9,7 +10,6 @@
     REPEAT_AFTER_S,
     SERVED_PROOF_S,
     SUSPICION_LIFE_S,
-    EndpointProcess,
     Fingerprint,
     Quarantined,
     SuspectRegistry,
