One way to spread daemons over time

Refutations and restorations each computed a fraction from the daemon's name and a key, as rate limits did before them. spread_fraction is the hash of the rate limits, whose intervals stay the same to the bit.

--- a/lycheepin/gateway/suspicion_writer.py
+++ b/lycheepin/gateway/suspicion_writer.py
@@ -8,11 +8,11 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from hashlib import blake2b
 from itertools import islice
 
 from lycheepin.gateway.storage import Lease, LeaseEnded, Store, StoreFailure
 from lycheepin.names import DaemonName
+from lycheepin.steering.spreading import spread_fraction
 from lycheepin.steering.suspects import Suspicion
 
 __all__ = ["SuspicionWriter"]
@@ -32,7 +32,6 @@
 # Most suspicions in one write, and most that wait to be written or are kept for a restored store.
 MAX_WRITTEN = 32
 MAX_WAITING = 512
-_HASH_RANGE = 2**64
 
 
 @dataclass(frozen=True)
@@ -90,8 +89,7 @@
         now_s = self._now_s()
         if entry is None or entry.refuted or now_s - entry.due_s >= MAX_RESTORED_AGE_S:
             return
-        digest = blake2b(f"{self._own}\0{key}".encode(), digest_size=8).digest()
-        delay_s = RESTORATION_SPREAD_S * int.from_bytes(digest) / _HASH_RANGE
+        delay_s = RESTORATION_SPREAD_S * spread_fraction(self._own, key)
         self._waiting.setdefault(key, replace(entry, due_s=now_s + delay_s))
         self._added.set()
 
--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/gateway/suspicions.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-from hashlib import blake2b
 from typing import Protocol
 
 from lycheepin.gateway.crash_detector import CrashDetector
@@ -11,6 +10,7 @@
 from lycheepin.names import DaemonName
 from lycheepin.steering.endpoint import EndpointProcess
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.spreading import spread_fraction
 from lycheepin.steering.suspects import (
     CRASHES_TO_SEND_ONCE,
     Fingerprint,
@@ -24,7 +24,6 @@
 
 # Time in seconds over which daemons spread the refutations of a suspicion, so that few write one.
 REFUTATION_SPREAD_S = 2.0
-_HASH_RANGE = 2**64
 
 
 class Publisher(Protocol):
@@ -118,8 +117,8 @@
         """
         refutation = Suspicion(suspicion.fingerprint, suspicion.process, refuted=True)
         self._suspects.refute(refutation)
-        digest = blake2b(f"{self._own}\0{suspicion.fingerprint}".encode(), digest_size=8).digest()
-        self._publish(refutation, REFUTATION_SPREAD_S * int.from_bytes(digest) / _HASH_RANGE)
+        fraction = spread_fraction(self._own, suspicion.fingerprint)
+        self._publish(refutation, REFUTATION_SPREAD_S * fraction)
 
     def _log_suspicion(self, suspicion: Suspicion, source: str) -> None:
         """Logs a new suspicion; one request that was in one crash is of little interest."""
--- a/lycheepin/steering/rate_limits.py
+++ b/lycheepin/steering/rate_limits.py
@@ -10,11 +10,11 @@
 from collections import deque
 from dataclasses import dataclass
 from math import floor
-from zlib import crc32
 
 from lycheepin.names import DaemonName, EndpointId
 from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.endpoint import EndpointRecord
+from lycheepin.steering.spreading import spread_fraction
 
 __all__ = ["RateLimits"]
 
@@ -24,7 +24,6 @@
 # Part of a limit that the daemons without a share may use together. Each sends one request in a
 # long time, since only an answer tells that the limit has ended.
 PROBE_FRACTION = 0.25
-_HASH_RANGE = 1 << 32
 
 
 @dataclass
@@ -130,6 +129,6 @@
 
         A hash spreads the daemons, which learn of a limit at about the same time.
         """
-        spread = crc32(f"{endpoint_id}\0{self._own}".encode()) / _HASH_RANGE
+        spread = spread_fraction(self._own, endpoint_id)
         mean_s = limit.window_s * max(1, carriers_without) / (PROBE_FRACTION * limit.allowed)
         return max(limit.window_s, mean_s * (0.5 + spread))
