--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -22,10 +22,11 @@
     @classmethod
     def parse(cls, text: str) -> SocketAddress:
         """Returns the address written as `host:port`; raises ValueError if malformed."""
-        host, _, port = text.rpartition(":")
-        if not 0 < int(port) <= MAX_PORT:
-            raise ValueError(f"not a port from 1 to {MAX_PORT}: {port!r}")
-        return cls(Address(host), int(port))
+        host, _, digits = text.rpartition(":")
+        port = int(digits)
+        if not 0 < port <= MAX_PORT:
+            raise ValueError(f"not a port from 1 to {MAX_PORT}: {port}")
+        return cls(Address(host), port)
 
     def __str__(self) -> str:
         """Returns `host:port`."""
--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/gateway/suspicions.py
@@ -64,8 +64,7 @@
         if quarantined is not None:
             for suspicion in quarantined.to_repeat:
                 self._publish(suspicion)
-        elif self._suspects.count_crashes(fingerprint):
-            crashes = self._suspects.count_crashes(fingerprint)
+        elif crashes := self._suspects.count_crashes(fingerprint):
             self._log.write("suspect_sent", fingerprint=fingerprint, crashes=crashes)
         return quarantined
 
--- a/lycheepin/steering/suspects.py
+++ b/lycheepin/steering/suspects.py
@@ -115,11 +115,6 @@
         suspect = self._suspects.get(fingerprint)
         return len(suspect.crashes) if suspect is not None else 0
 
-    def holds(self, suspicion: Suspicion) -> bool:
-        """Returns whether a suspicion is known and neither refuted nor forgotten."""
-        suspect = self._suspects.get(suspicion.fingerprint)
-        return suspect is not None and suspicion.process in suspect.crashes
-
     def was_refuted(self, suspicion: Suspicion) -> bool:
         """Returns whether a suspicion is known to be refuted."""
         return (suspicion.fingerprint, suspicion.process) in self._refuted
@@ -158,18 +153,17 @@
             self.refute(suspicion)
         return refuted
 
-    def refute(self, suspicion: Suspicion) -> bool:
-        """Drops a suspicion for good; returns whether it was held."""
+    def refute(self, suspicion: Suspicion) -> None:
+        """Drops a suspicion for good."""
         fingerprint, process = suspicion.fingerprint, suspicion.process
         self._refuted[(fingerprint, process)] = None
         if len(self._refuted) > MAX_REFUTED:
             self._refuted.popitem(last=False)
         suspect = self._suspects.get(fingerprint)
-        if suspect is None or suspect.crashes.pop(process, None) is None:
-            return False
-        if not suspect.crashes:
-            del self._suspects[fingerprint]
-        return True
+        if suspect is not None:
+            suspect.crashes.pop(process, None)
+            if not suspect.crashes:
+                del self._suspects[fingerprint]
 
     def find_quarantine(self, fingerprint: Fingerprint, now_s: float) -> Quarantined | None:
         """Returns why a request is not sent, or None if it is.
