Log lines about requests in a module of their own

RequestLog writes the same lines with the same fields; an attempt and its unknown outcome, and a quarantine, share the fields by which repetitions are found. The handler no longer holds the rate limits, which only its log line read. The host without its port was parsed in two places and is a property of the request now.

--- a/lycheepin/gateway/incoming.py
+++ b/lycheepin/gateway/incoming.py
@@ -70,6 +70,11 @@
         """The network address of the caller, without its port."""
         return self._connection.caller_host
 
+    @property
+    def host(self) -> str:
+        """The host that the request names, without its port."""
+        return (self.header(b"host") or b"").decode("latin-1").partition(":")[0]
+
     @property
     def path(self) -> str:
         """The target without its query string."""
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -20,6 +20,7 @@
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.relay import RELAY_PATH, Relay
 from lycheepin.gateway.request_handler import RequestHandler
+from lycheepin.gateway.request_log import RequestLog
 from lycheepin.gateway.settings import GatewaySettings
 from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
@@ -105,9 +106,8 @@
             attempt_runner,
             settings.terms,
             carriers,
-            self.rate_limits,
             self.suspicions,
-            self.log,
+            RequestLog(self.log, platform.header_names, self.rate_limits),
             self.metrics,
         )
         self._caller_listener = Listener(self._handler.handle_request)
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -7,10 +7,10 @@
 
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
-from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.fingerprints import fingerprint_request
 from lycheepin.gateway.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
+from lycheepin.gateway.request_log import RequestLog
 from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
@@ -20,7 +20,6 @@
     Dispatcher,
     Refusal,
     SelectedEndpoint,
-    WeighedEndpoint,
 )
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
@@ -28,13 +27,11 @@
 from lycheepin.steering.progress import (
     FIRST_FAILURE_STATUS,
     AttemptResult,
-    EndpointChange,
     NotRun,
     OutcomeUnknown,
     RequestProgress,
     Served,
 )
-from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import Route, RoutingTable, TrafficSplitter
 from lycheepin.steering.suspects import Quarantined
@@ -63,9 +60,8 @@
         attempt_runner: AttemptRunner,
         budget_limits: BudgetLimits,
         carriers: Carriers,
-        rate_limits: RateLimits,
         suspicions: SuspicionExchange,
-        log: DecisionLog,
+        log: RequestLog,
         metrics: Metrics,
     ) -> None:
         self._header_names = header_names
@@ -79,7 +75,6 @@
         self._caller_retries = CallerRetries()
         self._budget_limits = budget_limits
         self._carriers = carriers
-        self._rate_limits = rate_limits
         self._retry_shares: defaultdict[ServiceName, RetryBudgetShare] = defaultdict(
             lambda: RetryBudgetShare(self._budget_limits)
         )
@@ -103,11 +98,10 @@
                 request, identifier, ErrorKind.NO_CONFIGURATION, STARTING_RETRY_AFTER_S
             )
             return
-        host = (request.header(b"host") or b"").decode("latin-1").partition(":")[0]
-        route = table.match(host, request.path)
+        route = table.match(request.host, request.path)
         if route is None:
             await request.read_up_to(MAX_BUFFERED_BODY_BYTES)
-            self._log.write("no_route", request=identifier, host=host, version=table.version)
+            self._log.write_no_route(request, identifier, table.version)
             self._send_error(request, ErrorKind.NO_ROUTE, None)
             return
         service = self._traffic_splitter.pick_service(route, table.version)
@@ -133,21 +127,10 @@
         try:
             await self._try_endpoints(request, body, progress, table)
         except asyncio.CancelledError:
-            self._log_caller_left(request, progress)
+            self._metrics.count("callers_left")
+            self._log.write_caller_left(request, progress)
             raise
 
-    def _log_caller_left(self, request: IncomingRequest, progress: RequestProgress) -> None:
-        """Logs that a caller disconnected before it was answered."""
-        self._metrics.count("callers_left")
-        waited_s = asyncio.get_running_loop().time() - request.arrival_s
-        self._log.write(
-            "caller_left",
-            request=progress.identifier,
-            route=progress.route.name,
-            waited_ms=int(waited_s * MS_PER_S),
-            sent=progress.sent,
-        )
-
     def _read_object_key(self, request: IncomingRequest, route: Route) -> str:
         """Returns the key of the requested object, or "" if the route has no session affinity."""
         key = request.header(self._header_names.object_key) or b"" if route.sticky else b""
@@ -177,7 +160,7 @@
                 progress.build_requirements(), spec, loop.time()
             )
             if isinstance(choice, Refusal):
-                self._log_weighed(progress, choice)
+                self._log.write_not_placed(progress, choice)
                 self._finish_with_error(request, progress, choice.kind, choice.retry_after_s)
                 return
             outcome, result = await self._make_attempt(request, body, progress, choice)
@@ -210,31 +193,9 @@
     ) -> None:
         """Logs and refuses a request under which endpoints crashed."""
         self._metrics.count("requests_quarantined")
-        self._log.write(
-            "request_quarantined",
-            request=progress.identifier,
-            fingerprint=progress.fingerprint,
-            target=request.target.decode("latin-1"),
-            caller=request.caller_host,
-            crashes=quarantined.crashes,
-        )
+        self._log.write_quarantine(request, progress, quarantined)
         self._finish_with_error(request, progress, ErrorKind.QUARANTINED, quarantined.retry_after_s)
 
-    def _log_weighed(self, progress: RequestProgress, refusal: Refusal) -> None:
-        """Logs what decided that no endpoint gets the next attempt of a request."""
-        now_s = asyncio.get_running_loop().time()
-        waited_s = now_s - progress.arrival_s + progress.waited_s
-        self._log.write(
-            "not_placed",
-            request=progress.identifier,
-            route=progress.route.name,
-            service=progress.service,
-            kind=refusal.kind.value,
-            caller_retry=progress.waited_s > 0.0,
-            target_left_ms=int((progress.route.target_s - waited_s) * MS_PER_S),
-            weighed=[_describe_weighed(endpoint) for endpoint in refusal.weighed],
-        )
-
     async def _make_attempt(
         self,
         request: IncomingRequest,
@@ -256,58 +217,20 @@
         result = Served(outcome.head.status) if isinstance(outcome, EndpointAnswer) else outcome
         progress.body_buffered = request.body_complete and len(body) <= MAX_BUFFERED_BODY_BYTES
         change = progress.record_result(result, endpoint, self._registry, loop.time())
-        self._log_endpoint_change(change, endpoint)
-        self._log.write(
-            "attempt",
-            request=progress.identifier,
-            route=progress.route.name,
-            endpoint=endpoint.record.id,
-            rank=choice.rank,
-            in_flight=endpoint.in_flight,
-            others=round(endpoint.other_requests(started_s), 1),
-            slots=endpoint.record.slots,
-            limit_per_s=self._rate_limits.find_limit(endpoint.record.id),
-            key=(request.header(self._header_names.object_key) or b"").decode("latin-1"),
-            took_ms=int((loop.time() - started_s) * MS_PER_S),
-            outcome=str(result.status) if isinstance(result, Served) else result.kind.value,
-        )
-        self._observe_result(request, progress, endpoint, result)
+        self._log.write_endpoint_change(change, endpoint)
+        self._log.write_attempt(request, progress, choice, started_s, result)
+        self._observe_result(progress, endpoint, result)
         return outcome, result
 
     def _observe_result(
-        self,
-        request: IncomingRequest,
-        progress: RequestProgress,
-        endpoint: Endpoint,
-        result: AttemptResult,
+        self, progress: RequestProgress, endpoint: Endpoint, result: AttemptResult
     ) -> None:
         """Passes what an attempt says about crashes of its endpoint on."""
         match result:
             case NotRun(kind=ErrorKind.ENDPOINT_REPLACED):
                 self._suspicions.detector.observe_end(endpoint)
-            case OutcomeUnknown(kind=kind):
-                self._log_unknown_outcome(request, progress, endpoint, result)
-                if kind is ErrorKind.ENDPOINT_BROKE:
-                    self._suspicions.detector.observe_break(endpoint, progress.fingerprint)
-
-    def _log_unknown_outcome(
-        self,
-        request: IncomingRequest,
-        progress: RequestProgress,
-        endpoint: Endpoint,
-        result: OutcomeUnknown,
-    ) -> None:
-        """Logs a request that may have run at an endpoint, so that its repetitions can be found."""
-        self._log.write(
-            "outcome_unknown",
-            request=progress.identifier,
-            endpoint=endpoint.record.id,
-            kind=result.kind.value,
-            detail=result.detail,
-            caller=request.caller_host,
-            target=request.target.decode("latin-1"),
-            fingerprint=progress.fingerprint,
-        )
+            case OutcomeUnknown(kind=ErrorKind.ENDPOINT_BROKE):
+                self._suspicions.detector.observe_break(endpoint, progress.fingerprint)
 
     def _may_abandon(self, progress: RequestProgress, endpoint: Endpoint) -> bool:
         """Returns whether an attempt at an unresponsive endpoint may be abandoned.
@@ -321,18 +244,6 @@
             endpoint, self._dispatcher, retry_share, slack_fraction, now_s
         )
 
-    def _log_endpoint_change(self, change: EndpointChange, endpoint: Endpoint) -> None:
-        """Logs that an attempt found its endpoint replaced, or led to its exclusion."""
-        if change.replaced:
-            self._log.write("endpoint_replaced", endpoint=endpoint.record.id)
-        if change.excluded:
-            self._log.write(
-                "endpoint_excluded",
-                endpoint=endpoint.record.id,
-                failures=endpoint.failures,
-                for_s=endpoint.exclusion_s,
-            )
-
     async def _forward_answer(
         self,
         request: IncomingRequest,
@@ -359,7 +270,7 @@
                     await request.send_chunk(chunk)
                 await self._attempt_runner.check_end(endpoint, answer.connection)
         except (BrokenAnswer, TimeoutError) as error:
-            self._log.write("answer_cut", request=progress.identifier, reason=repr(error))
+            self._log.write_cut_answer(progress, error)
             if isinstance(error, BrokenAnswer):
                 self._suspicions.detector.observe_break(endpoint, progress.fingerprint)
             answer.connection.close()
@@ -402,14 +313,8 @@
         retry_after_s: float | None,
     ) -> None:
         """Logs a refused request and answers it."""
-        self._log.write(
-            "refused",
-            request=identifier,
-            status=Fault(kind).answer.status,
-            kind=kind.value,
-            retry_after_s=retry_after_s,
-            version=self.table.version if self.table else None,
-        )
+        version = self.table.version if self.table is not None else None
+        self._log.write_refusal(identifier, kind, retry_after_s, version)
         self._send_error(request, kind, retry_after_s)
 
     def _send_error(
@@ -432,14 +337,3 @@
         self._metrics.count("answers", outcome)
         seconds = asyncio.get_running_loop().time() - request.arrival_s
         self._metrics.observe(progress.service, seconds)
-
-
-def _describe_weighed(endpoint: WeighedEndpoint) -> str:
-    """Returns a preferred endpoint with its load and expected answer time, for a log line."""
-    age_s = endpoint.report_age_s
-    age = "never" if age_s is None else f"{age_s:.1f}s"
-    return (
-        f"{endpoint.id} slots={endpoint.slots} in_flight={endpoint.in_flight}"
-        f" others={endpoint.other_requests:.1f}@{age}"
-        f" answer_ms={int(endpoint.answer_s * MS_PER_S)}"
-    )
