Soak: one way to crash an endpoint and one to connect

A deadly request crashed its endpoint in a second way beside the fault that crashes one, and connected by itself beside the callers. Both now take the existing ways; an endpoint that a deadly request crashed is replaced at once, as by the fault, instead of after a second. Guarantee and bounds are as they were.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -13,7 +13,7 @@
 from soak.world import DESK, FILES, ROUTE_TIMEOUT_S, Deployment
 from standins.messages import read_answer, request
 
-__all__ = ["Callers"]
+__all__ = ["Callers", "connect"]
 
 # Callers on persistent connections, and their mean pause between two requests.
 PERSISTENT_CALLERS_PER_DAEMON = 4
@@ -92,7 +92,7 @@
             daemon = self._deployment.daemons[
                 random_source.choice(sorted(self._deployment.daemons))
             ]
-            connection = await _connect(daemon.listener_address)
+            connection = await connect(daemon.listener_address)
             if connection is None:
                 await asyncio.sleep(PERSISTENT_CALLER_PAUSE_S)
                 continue
@@ -116,7 +116,7 @@
         daemon = self._deployment.daemons[
             self._deployment.random.choice(sorted(self._deployment.daemons))
         ]
-        connection = await _connect(daemon.listener_address)
+        connection = await connect(daemon.listener_address)
         if connection is not None:
             reader, writer = connection
             try:
@@ -175,7 +175,7 @@
         sent_request, request_bytes = self._build_request(
             daemon.name, identifier, "GET", path, b"", {DESK}
         )
-        connection = await _connect(daemon.listener_address)
+        connection = await connect(daemon.listener_address)
         if connection is None:
             return
         self._deployment.ledger.record_request(sent_request, is_probe=True)
@@ -194,7 +194,7 @@
             )
 
 
-async def _connect(
+async def connect(
     address: SocketAddress,
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
     """Returns a connection, or None when it fails or times out."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Awaitable, Callable
 
+from soak.callers import connect
 from soak.daemons import Daemon
 from soak.ledger import SentRequest
 from soak.proxy import ProxyMode
@@ -203,13 +204,10 @@
 
 
 async def crash_endpoint(deployment: Deployment) -> None:
-    """Stops an endpoint abruptly and adds another one; the entry of the first is deleted later."""
-    endpoint = deployment.endpoints[deployment.random.choice(sorted(deployment.endpoints))]
-    deployment.ledger.record_fault("endpoints", deployment.now_s())
-    deployment.remove_endpoint(endpoint)
-    await deployment.add_endpoint(endpoint.service)
-    await asyncio.sleep(FAULT_DURATION_S)
-    deployment.store.delete(f"servers/{endpoint.name}")
+    """Crashes a random endpoint."""
+    await deployment.crash_endpoint(
+        deployment.endpoints[deployment.random.choice(sorted(deployment.endpoints))]
+    )
 
 
 async def send_deadly_requests(deployment: Deployment) -> None:
@@ -238,16 +236,18 @@
 
 async def _send_unread(daemon: Daemon, content: bytes) -> None:
     """Sends a request on a new connection, and waits a moment for its answer, which is not read."""
+    connection = await connect(daemon.listener_address)
+    if connection is None:
+        return
+    reader, writer = connection
     try:
         async with asyncio.timeout(DEADLY_ANSWER_S):
-            reader, writer = await asyncio.open_connection(
-                daemon.listener_address.host, daemon.listener_address.port
-            )
             writer.write(content)
             await reader.read(1)
-            writer.transport.abort()
     except (OSError, TimeoutError):
-        return  # the daemon is down, or slow
+        return  # the daemon has ended, or is slow
+    finally:
+        writer.transport.abort()
 
 
 async def reuse_address(deployment: Deployment) -> None:
--- a/soak/world.py
+++ b/soak/world.py
@@ -42,9 +42,10 @@
 # Minimum processing time of a request, and the maximum that is added at random.
 PROCESSING_S = 0.02
 PROCESSING_SPREAD_S = 0.02
-# Part of the path of requests that crash endpoints, and the time until a crashed one is replaced.
+# Part of the path of requests that crash endpoints, and the time for which the entry of a crashed
+# one stays in the store.
 DEADLY_PATH = "/deadly-"
-CRASH_S = 1.0
+ENTRY_OF_CRASHED_S = 2.0
 # Number of routes in a large configuration.
 LARGE_ROUTE_COUNT = 600
 # Interval of the checks for ended processes, which delays a restart as the platform does.
@@ -236,14 +237,13 @@
             endpoint.proxy.close()
             endpoint.stand_in.close()
 
-    async def _replace_crashed(self, endpoint: Endpoint) -> None:
-        """Stops an endpoint abruptly; another one starts later."""
+    async def crash_endpoint(self, endpoint: Endpoint) -> None:
+        """Stops an endpoint abruptly and adds another one; the first one's entry stays a while."""
         self.ledger.record_fault("endpoints", self.now_s())
         self.remove_endpoint(endpoint)
-        await asyncio.sleep(CRASH_S)
         await self.add_endpoint(endpoint.service)
+        await asyncio.sleep(ENTRY_OF_CRASHED_S)
         self.store.delete(f"servers/{endpoint.name}")
-        self.ledger.record_fault("endpoints", self.now_s())
 
     async def stop_daemon(self, daemon: Daemon) -> None:
         """Stops a daemon with SIGTERM, and kills it when it exceeds the grace period.
@@ -275,7 +275,9 @@
         self.ledger.record_run(identifier, endpoint.name, endpoint.service, content, now_s)
         if DEADLY_PATH in received.target:
             self.ledger.record_crash(identifier, now_s)
-            self._tasks.add(asyncio.ensure_future(self._replace_crashed(endpoint)))
+            task = asyncio.ensure_future(self.crash_endpoint(endpoint))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
             return b""
         if endpoint.failure_mode == "silent":
             await asyncio.sleep(60)
