--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -55,11 +56,15 @@
     """The case could not run; says nothing about the rule."""
 
 
-def free_port(host: str) -> int:
-    """Returns a port of a host that is free now."""
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
+def free_ports(host: str, names: tuple[str, ...]) -> dict[str, int]:
+    """Returns a different port for each name, all of which are free now on a host."""
+    with contextlib.ExitStack() as stack:
+        ports: dict[str, int] = {}
+        for name in names:
+            probe = stack.enter_context(socket.socket())
+            probe.bind((host, 0))
+            ports[name] = int(probe.getsockname()[1])
+        return ports
 
 
 def pick_network() -> str:
@@ -84,7 +89,7 @@
         self.host = host
         self.zone = zone
         self.region = region
-        self.ports = {name: free_port(host) for name in ("front", "ready", "control", "directory")}
+        self.ports = free_ports(host, ("front", "ready", "control", "directory"))
         self.process: subprocess.Popen[bytes] | None = None
 
     def settings(self, store: str, zones: Mapping[str, str], seeds: list[str]) -> str:
