Review: an extra response without an id makes a payment run twice

Cause: a response without an id is taken for the answer to the present request on a used connection. Change: case 5 of the review; the stand-in of backends can send bytes after its answers.

--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -28,7 +28,11 @@
 
 
 class Backend:
-    """A sound backend with `slots` slots and a short queue; work takes `work_s` seconds."""
+    """A sound backend with `slots` slots and a short queue; work takes `work_s` seconds.
+
+    `answer` returns an answer of its own in place of the sound one. `extra` makes it a faulty one: it
+    returns bytes that are sent after a complete answer, and after how many seconds.
+    """
 
     def __init__(
         self, identifier: str, service: str, zone: str, runs: list[Run], work_s: float, slots: int
@@ -45,6 +49,7 @@
         self.running = 0
         self.waiting = 0
         self.answer: Callable[[Message], bytes | None] = lambda request: None
+        self.extra: Callable[[Message], tuple[float, bytes] | None] = lambda request: None
         self._slot = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
         self._connections: set[asyncio.StreamWriter] = set()
@@ -85,6 +90,9 @@
                     request = await read_message(reader)
                 writer.write(await self._handle(request))
                 await writer.drain()
+                extra = self.extra(request)
+                if extra is not None:
+                    asyncio.get_running_loop().call_later(extra[0], _write_late, writer, extra[1])
         except (asyncio.IncompleteReadError, ConnectionError, TimeoutError, ValueError):
             return
         finally:
@@ -125,3 +133,9 @@
         fields["Server-Load"] = f"{self.running},{self.waiting},{self.slots}"
         fields |= {name.replace("_", "-"): value for name, value in headers.items()}
         return encode(f"HTTP/1.1 {status} {reason}", fields, body)
+
+
+def _write_late(writer: asyncio.StreamWriter, content: bytes) -> None:
+    """Writes bytes to a connection that may have been closed meanwhile."""
+    if not writer.transport.is_closing():
+        writer.write(content)
