--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,56 +1,121 @@
-"""The store's revision counter starts at a high number."""
+"""A backend leaves without a notice while the store cuts waiting watches now and then."""
 
 from __future__ import annotations
 
 import asyncio
 import os
 import pathlib
-import time
-from collections import Counter
 
-from review.lib.deployment import CannotRun, Deployment, configuration, new_id, route, run_case, send
+from review.lib.deployment import (
+    BOUNDS,
+    CannotRun,
+    Deployment,
+    configuration,
+    new_id,
+    route,
+    run_case,
+    send,
+)
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-ZONES = {"triolet": "north", "moka": "plateau"}
+ZONES = {"triolet": "north", "grandbaie": "north", "moka": "plateau", "surinam": "south"}
+GATEWAY_ZONES = ("triolet", "moka")
 DESK = "waxdesk"
-# Traffic starts 10 s after the machines do; the store answers from the first moment.
-TRAFFIC_AFTER_S = 10.0
-REQUEST_PAUSE_S = 0.1
-SECONDS = 20.0
+# Three backends of the service in each region; one of the nine leaves.
+BACKEND_ZONES = ("triolet", "triolet", "grandbaie", "moka", "moka", "moka") + 3 * ("surinam",)
+WORK_S = 0.3
+REQUEST_PAUSE_S = 0.03
+SECONDS = 12.0
+LEAVES_AT_S = 4.0
+CUT_GAP_S = 2.0
+CUTS = 2
+# Time for which a backend that leaves serves on beyond `drainTimeoutMs`.
+LONGER_S = 1.0
+DRAIN_S = BOUNDS["drainTimeoutMs"] / 1000
+
+
+class Leaving:
+    """The backend that leaves, and the times of what happens."""
+
+    def __init__(self, deployment: Deployment, identifier: str) -> None:
+        self.deployment = deployment
+        self.backend = deployment.backends[identifier]
+        self.removed_s = 0.0
+
+    async def run(self) -> None:
+        """Removes the entry, lets the backend serve on, then ends it."""
+        loop = asyncio.get_running_loop()
+        await asyncio.sleep(LEAVES_AT_S)
+        cuts: list[asyncio.TimerHandle] = []
+        if TROUBLE:
+            self.cut_watches()
+            cuts = [loop.call_later(n * CUT_GAP_S, self.cut_watches) for n in range(1, CUTS)]
+        await asyncio.sleep(0.02)
+        self.deployment.store.delete(f"servers/{self.backend.identifier}")
+        self.removed_s = loop.time()
+        self.deployment.note(f"store: servers/{self.backend.identifier} is removed")
+        await asyncio.sleep(DRAIN_S + LONGER_S)
+        self.deployment.note(f"backend {self.backend.identifier} ends")
+        self.backend.close()
+        await asyncio.sleep(CUTS * CUT_GAP_S)
+        for cut in cuts:
+            cut.cancel()
+
+    def cut_watches(self) -> None:
+        """Lets the store cut the watches that are waiting."""
+        store = self.deployment.store
+        before = store.cut_watches
+        store.cut_waiting_watches()
+        self.deployment.note(f"store: cuts {store.cut_watches - before} waiting watches")
+
+
+async def send_order(deployment: Deployment, number: int, sent: dict[str, int]) -> None:
+    """Sends one order to one of the gateways."""
+    gateway = deployment.gateways[number % len(deployment.gateways)]
+    identifier = new_id()
+    answer = await send(gateway, "POST", f"/orders/{number}", identifier, b"one drum of wax")
+    sent[identifier] = answer.status if answer is not None else 0
+    deployment.note(f"client {identifier}: POST /orders/{number}, answered {sent[identifier]}")
 
 
 async def main() -> int:
-    """Returns 1 if no request is served."""
+    """Returns 1 if a request reached the backend later than `drainTimeoutMs` after its removal."""
     deployment = Deployment(pathlib.Path(__file__).parent, ZONES)
-    statuses: Counter[int] = Counter()
+    sent: dict[str, int] = {}
     try:
-        if TROUBLE:
-            deployment.store.revision = int(time.time() * 1000)
-        deployment.note(f"store: the revision counter starts at {deployment.store.revision}")
-        routes = {"r-prices": route("/prices/", "idempotent", DESK)}
-        await deployment.start(list(ZONES), configuration(routes, [DESK]))
-        for number, zone in enumerate((*ZONES, *ZONES)):
-            await deployment.add_backend(f"i-{number}", DESK, zone, 0.1)
-        await asyncio.sleep(TRAFFIC_AFTER_S)
-        if any(g.process is None or g.process.poll() is not None for g in deployment.gateways):
-            raise CannotRun("a gateway did not start")
+        routes = {"r-orders": route("/orders/", "non_idempotent", DESK, homeRegions=["north"])}
+        await deployment.start(list(GATEWAY_ZONES), configuration(routes, [DESK]))
+        for number, zone in enumerate(BACKEND_ZONES):
+            await deployment.add_backend(f"i-{number}", DESK, zone, WORK_S)
+        await deployment.wait_until_ready()
+        leaving = Leaving(deployment, "i-0")
+        task = asyncio.create_task(leaving.run())
+        orders: list[asyncio.Task[None]] = []
         for number in range(int(SECONDS / REQUEST_PAUSE_S)):
-            gateway = deployment.gateways[number % len(deployment.gateways)]
-            identifier = new_id()
-            answer = await send(gateway, "GET", f"/prices/{number}", identifier)
-            status = answer.status if answer is not None else 0
-            statuses[status] += 1
-            deployment.note(f"client {identifier}: GET /prices/{number}, answered {status}")
+            orders.append(asyncio.create_task(send_order(deployment, number, sent)))
             await asyncio.sleep(REQUEST_PAUSE_S)
+        await asyncio.gather(*orders)
+        await task
         for run in deployment.runs:
-            deployment.note(f"backend {run.backend} ran {run.identifier} {run.target}")
+            after_s = run.began_s - leaving.removed_s
+            deployment.note(f"backend {run.backend} ran {run.identifier} at {after_s:+.3f} s")
+        if not deployment.runs:
+            raise CannotRun("no order reached a backend")
+        late = [
+            run
+            for run in deployment.runs
+            if run.backend == "i-0" and run.began_s > leaving.removed_s + DRAIN_S
+        ]
+        latest_s = max((run.began_s - leaving.removed_s for run in late), default=0.0)
+        lost = sum(sent[run.identifier] != 200 for run in late)
         verdict = (
-            f"requests by status: {dict(statuses)}; {len(deployment.runs)} ran; the store is at "
-            f"revision {deployment.store.revision}"
+            f"{len(sent)} orders sent; {len(late)} reached the backend that left more than "
+            f"{DRAIN_S} s after its removal, the last one {latest_s:.2f} s after it; {lost} of "
+            f"these ran and were not answered with success"
         )
         deployment.note(verdict)
         print(verdict)
-        return 1 if not statuses[200] else 0
+        return 1 if late else 0
     finally:
         deployment.close()
 
--- a/review/lib/backend.py
+++ b/review/lib/backend.py
@@ -30,7 +30,7 @@
 class Backend:
     """A sound backend with `slots` slots and a short queue; work takes `work_s` seconds.
 
-    `answer` returns an answer of its own in place of the sound one. `extra` makes it a faulty one: it
+    `answer` returns an answer of its own in place of the sound one. `extra` makes it faulty: it
     returns bytes that are sent after a complete answer, and after how many seconds.
     """
 
@@ -119,8 +119,16 @@
                 )
                 await asyncio.sleep(self.work_s)
                 own = self.answer(request)
-                return own if own is not None else self._encode(
-                    200, "OK", identifier, digest.encode(), Response_Signature=f"sig.{digest[:16]}"
+                return (
+                    own
+                    if own is not None
+                    else self._encode(
+                        200,
+                        "OK",
+                        identifier,
+                        digest.encode(),
+                        Response_Signature=f"sig.{digest[:16]}",
+                    )
                 )
             finally:
                 self.running -= 1
