Positions are pairs of era and revision, so that revisions may be of any size

Cause: a position packed the era above 40 bits of revision, a width that the store's protocol doesn't give. Beyond 2^40 the upper bits of the revision counted as another era, so each listing and each watch failed as one that crosses a return from a copy.

Evidence: the log's `store_lost` lines name "the store came back from a copy between two pages" for each listing. Ruled out: number formats in JSON and in the relay's messages.

Change: Position(era, revision), ordered; the relay carries both on a path of its own. The same cause on a related path: eras with more than six digits were read as the era before.

Why it works: nothing is packed any more, so no part can run into another.

Tests that named positions by one number name era and revision now; what they check is unchanged.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -8,7 +8,7 @@
 
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.directory import DaemonRecord, Directory
-from lycheepin.gateway.storage import Position, era_of, revision_of
+from lycheepin.gateway.storage import Position
 from lycheepin.names import DaemonName, EndpointId, ZoneName
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
@@ -122,20 +122,20 @@
         self._log.write(
             "updates_outdated",
             peer=peer,
-            era=era_of(as_of),
-            revision=revision_of(as_of),
-            known_era=era_of(known),
-            known_revision=revision_of(known),
+            era=as_of.era,
+            revision=as_of.revision,
+            known_era=known.era,
+            known_revision=known.revision,
         )
 
     def log_lost_history(self, after: Position, as_of: Position) -> None:
         """Logs that the store did not have the changes after a position and was listed again."""
         self._log.write(
             "history_lost",
-            known_era=era_of(after),
-            known_revision=revision_of(after),
-            era=era_of(as_of),
-            revision=revision_of(as_of),
+            known_era=after.era,
+            known_revision=after.revision,
+            era=as_of.era,
+            revision=as_of.revision,
         )
 
     def mark_store_lost(self, reason: str, silent_s: float) -> None:
@@ -156,8 +156,8 @@
             self.store_answers = True
             self._log.write(
                 "store_answers",
-                era=era_of(position),
-                revision=revision_of(position),
+                era=position.era,
+                revision=position.revision,
                 outage_s=_round_s(outage_s),
                 removals_believed=contact.believes_removals(now_s),
             )
@@ -165,8 +165,8 @@
     def observe_restored_store(self, position: Position) -> None:
         """Records that the store has come back from a copy, in a new era."""
         self.registry.observe_restored_store(self._now_s())
-        self.directory.observe_restored_store(era_of(position))
-        self._log.write("store_restored", era=era_of(position), revision=revision_of(position))
+        self.directory.observe_restored_store(position.era)
+        self._log.write("store_restored", era=position.era, revision=position.revision)
 
     def expire_missing_entries(self) -> None:
         """Applies the removal of entries that have not reappeared after a store outage."""
--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -14,6 +14,7 @@
 from lycheepin.gateway.relay import PeerUpdates, poll_peer
 from lycheepin.gateway.settings import GatewaySettings, SocketAddress
 from lycheepin.gateway.storage import (
+    START,
     Changes,
     HistoryLost,
     Item,
@@ -21,7 +22,6 @@
     Position,
     Store,
     StoreFailure,
-    era_of,
 )
 from lycheepin.transport.calls import HttpClient
 
@@ -179,13 +179,11 @@
         first = int.from_bytes(blake2b(self._gateway.record.name.encode(), digest_size=4).digest())
         for number in range(min(SEED_ATTEMPTS, len(settings.seeds))):
             seed = settings.seeds[(first + number) % len(settings.seeds)]
-            answer = await poll_peer(
-                self._http_client, seed, settings.store, Position(0), SEED_WAIT_S
-            )
+            answer = await poll_peer(self._http_client, seed, settings.store, START, SEED_WAIT_S)
             if isinstance(answer, str):
                 self._state.log_refused_peer(str(seed), answer)
             elif answer.age_s <= self._timing.max_fresh_age_s:
-                self._apply_peer_updates(seed, answer, Position(0))
+                self._apply_peer_updates(seed, answer, START)
                 return
 
     async def run_entry_expiry(self) -> None:
@@ -232,7 +230,7 @@
 
     async def _poll_peer(self, peer: SocketAddress, wait_s: float) -> bool:
         """Polls a peer and applies its updates; returns whether they are fresh."""
-        after = self._replica.position or Position(0)
+        after = self._replica.position or START
         answer = await poll_peer(
             self._http_client, peer, self._gateway.settings.store, after, wait_s
         )
@@ -330,7 +328,7 @@
     def _apply_listing(self, listing: Listing) -> None:
         """Applies a complete listing to the replica and the gateway's state."""
         position = self._replica.position
-        if position is not None and era_of(position) < era_of(listing.as_of):
+        if position is not None and position.era < listing.as_of.era:
             self._state.observe_restored_store(listing.as_of)
         self._replica.replace_items(listing)
         self._reader.remove_missing_entries(listing.items)
--- a/lycheepin/gateway/mirror.py
+++ b/lycheepin/gateway/mirror.py
@@ -10,7 +10,7 @@
 import asyncio
 from collections import deque
 
-from lycheepin.gateway.storage import Changes, Item, Listing, Position, Removed, era_of
+from lycheepin.gateway.storage import START, Changes, Item, Listing, Position, Removed
 
 __all__ = ["StoreReplica"]
 
@@ -28,7 +28,7 @@
     def __init__(self) -> None:
         self._items: dict[str, Item] = {}
         self._changes: deque[tuple[Position, str]] = deque()
-        self._complete_after = Position(0)
+        self._complete_after = START
         self._changed = asyncio.Event()
         self.filled = asyncio.Event()
         self.position: Position | None = None
@@ -49,7 +49,7 @@
         The changes of an earlier era are dropped: some of them may never have happened.
         """
         items = {item.key: item for item in listing.items}
-        if self.position is None or era_of(self.position) != era_of(listing.as_of):
+        if self.position is None or self.position.era != listing.as_of.era:
             self._changes.clear()
             self._complete_after = listing.as_of
         else:
@@ -82,7 +82,7 @@
             return None
         if after < self._complete_after:
             return Listing(tuple(self._items.values()), self.position)
-        if era_of(after) > era_of(self.position):
+        if after.era > self.position.era:
             return Changes((), self.position)
         changed: dict[str, Position] = {}
         for position, key in reversed(self._changes):
@@ -110,7 +110,7 @@
         return (
             after < self._complete_after
             or bool(self._changes and self._changes[-1][0] > after)
-            or era_of(after) > era_of(self.position or Position(0))
+            or after.era > (self.position or START).era
         )
 
     def _append_change(self, position: Position, key: str) -> None:
--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -18,8 +18,8 @@
 
 __all__ = ["RELAY_PATH", "Relay", "PeerUpdates", "poll_peer", "decode_updates", "encode_updates"]
 
-# Path of the polls. Builds that know revisions only use /relay: they don't understand positions.
-RELAY_PATH = "/relay/positions"
+# Path of the polls. Other builds use /relay and /relay/positions, with positions of one number.
+RELAY_PATH = "/relay/revisions"
 # Longest wait of a follower's call, in seconds; a frozen peer is noticed after this time.
 MAX_WAIT_S = 5.0
 # Time in seconds that an answer may take in addition to its wait.
@@ -59,13 +59,15 @@
         loop = asyncio.get_running_loop()
         query = parse_qs(request.target.partition(b"?")[2].decode("latin-1"))
         try:
-            after = Position(int((query.get("after") or ["0"])[0]))
-            wait_s = min(MAX_WAIT_S, int((query.get("wait_ms") or ["0"])[0]) / MS_PER_S)
+            era, revision, wait_ms = (
+                int((query.get(name) or ["0"])[0]) for name in ("era", "after", "wait_ms")
+            )
         except ValueError:
-            request.respond(400, [], b"after and wait_ms must be whole numbers")
+            request.respond(400, [], b"era, after and wait_ms must be whole numbers")
             return
+        after = Position(era, revision)
         started_s = loop.time()
-        await self._replica.wait_for_updates(after, wait_s)
+        await self._replica.wait_for_updates(after, min(MAX_WAIT_S, wait_ms / MS_PER_S))
         updates = self._replica.read_updates(after)
         if updates is None:
             request.respond(503, [], b"")
@@ -73,7 +75,8 @@
         now_s = loop.time()
         answer = RelayAnswer(
             store=str(store),
-            as_of=updates.as_of,
+            era=updates.as_of.era,
+            revision=updates.as_of.revision,
             age_ms=int(min(UNKNOWN_AGE_MS, self._replica.age_s(now_s) * MS_PER_S)),
             complete=isinstance(updates, Listing),
             waited_ms=int((now_s - started_s) * MS_PER_S),
@@ -103,7 +106,8 @@
     """
     loop = asyncio.get_running_loop()
     started_s = loop.time()
-    target = f"{RELAY_PATH}?after={after}&wait_ms={int(wait_s * MS_PER_S)}"
+    target = f"{RELAY_PATH}?era={after.era}&after={after.revision}"
+    target += f"&wait_ms={int(wait_s * MS_PER_S)}"
     answer = await http_client.call(
         peer.host, peer.port, "GET", target, timeout_s=wait_s + ANSWER_GRACE_S
     )
@@ -134,9 +138,9 @@
         return b""
     entries = [
         (
-            StoreEntry(event.key, event.value, event.position, False)
+            StoreEntry(event.key, event.value, event.position.revision, False)
             if isinstance(event, Item)
-            else StoreEntry(event.key, b"", event.position, True)
+            else StoreEntry(event.key, b"", event.position.revision, True)
         )
         for event in events
     ]
@@ -147,22 +151,23 @@
     """Returns the updates of an answer; raises ValueError for one of another deployment."""
     if answer.store != store:
         raise ValueError(f"store {answer.store!r} belongs to another deployment")
+    as_of = Position(answer.era, answer.revision)
     entries: list[StoreEntry] = []
     if answer.news:
         content = zlib.decompressobj().decompress(_to_bytes(answer.news), MAX_UPDATES_BYTES)
         entries = deserialize(StoreNews(), content, _PROTOCOL_FACTORY).entries
     events = tuple(
         (
-            Removed(entry.key, Position(entry.position))
+            Removed(entry.key, Position(answer.era, entry.revision))
             if entry.removed
-            else Item(entry.key, _to_bytes(entry.value), Position(entry.position))
+            else Item(entry.key, _to_bytes(entry.value), Position(answer.era, entry.revision))
         )
         for entry in entries
     )
     if answer.complete:
         items = tuple(event for event in events if isinstance(event, Item))
-        return Listing(items, Position(answer.as_of))
-    return Changes(events, Position(answer.as_of))
+        return Listing(items, as_of)
+    return Changes(events, as_of)
 
 
 def _to_bytes(value: bytes | str) -> bytes:
--- a/lycheepin/gateway/storage.py
+++ b/lycheepin/gateway/storage.py
@@ -8,9 +8,10 @@
 
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import NewType, Protocol
+from typing import NamedTuple, Protocol
 
 __all__ = [
+    "START",
     "Changes",
     "HistoryLost",
     "Item",
@@ -22,31 +23,18 @@
     "Store",
     "StoreFailure",
     "Stored",
-    "era_of",
-    "position_at",
-    "revision_of",
 ]
 
-# A point in the history of the store: the era in the upper bits, the revision in the lower ones. A
-# later point has a higher number, in any era.
-Position = NewType("Position", int)
 
-REVISION_BITS = 40
+class Position(NamedTuple):
+    """A point in the history of the store; a later point is greater, in any era."""
 
-
-def position_at(era: int, revision: int) -> Position:
-    """Returns the position of a revision in an era."""
-    return Position((era << REVISION_BITS) + revision)
-
-
-def era_of(position: Position) -> int:
-    """Returns the era of a position."""
-    return position >> REVISION_BITS
+    era: int
+    revision: int
 
 
-def revision_of(position: Position) -> int:
-    """Returns the revision of a position in its era."""
-    return position & ((1 << REVISION_BITS) - 1)
+# The position before all others.
+START = Position(0, 0)
 
 
 @dataclass(frozen=True)
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -11,6 +11,7 @@
 from hashlib import blake2b
 from typing import Any
 
+from lycheepin.decoding import require_int
 from lycheepin.errors import DECODE_ERRORS
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.directory import DaemonRecord
@@ -232,11 +233,11 @@
         port=address.port,
         zone=zone,
         region=zones[zone],
-        slots=_require_int(document["slots"], 1),
+        slots=require_int(document["slots"], 1),
         draining=document["state"] == _DRAINING,
         cold_s=float(cold_ms) / MS_PER_S,
         started_ms=int(document.get("born", 0)),
-        sequence=_require_int(document["sequence"], 0),
+        sequence=require_int(document["sequence"], 0),
     )
 
 
@@ -247,13 +248,6 @@
     return value
 
 
-def _require_int(value: Any, minimum: int) -> int:
-    """Returns `value` if it is an integer of at least `minimum`; raises ValueError otherwise."""
-    if not isinstance(value, int) or isinstance(value, bool) or value < minimum:
-        raise ValueError(f"not an integer of at least {minimum}: {value!r}")
-    return value
-
-
 def _decode_daemon(name: str, document: Any) -> DaemonRecord:
     """Returns one daemon, as `encode_daemon` wrote it."""
     return DaemonRecord(
--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -10,6 +10,7 @@
 from typing import Any
 from urllib.parse import quote
 
+from lycheepin.decoding import require_int
 from lycheepin.errors import DECODE_ERRORS
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.gateway.storage import (
@@ -23,9 +24,6 @@
     Removed,
     Stored,
     StoreFailure,
-    era_of,
-    position_at,
-    revision_of,
 )
 from lycheepin.transport.calls import CallAnswer, CallFailure, HttpClient
 
@@ -38,8 +36,8 @@
 MS_PER_S = 1000
 # Header of all answers: how often the store has come back from a copy.
 ERA_HEADER = b"store-era"
-# Longest era that is read, in digits; a position has room for it.
-MAX_ERA_DIGITS = 6
+# Longest era that is read, in digits: the ones that 64 bits have room for.
+MAX_ERA_DIGITS = 18
 
 
 @dataclass(frozen=True)
@@ -77,12 +75,12 @@
             try:
                 document = answer.document
                 page = [_decode_item(item, answer.era) for item in document["items"]]
-                position = position_at(answer.era, int(document["asOf"]))
+                position = Position(answer.era, require_int(document["asOf"]))
                 more = bool(document.get("hasMore"))
             except DECODE_ERRORS as error:
                 return StoreFailure(f"malformed listing: {error!r}")
             as_of = position if as_of is None else as_of
-            if era_of(as_of) != answer.era:
+            if as_of.era != answer.era:
                 return StoreFailure("the store came back from a copy between two pages")
             items += page
             if not more or not page:
@@ -93,18 +91,18 @@
         self, prefix: str, after: Position, wait_s: float
     ) -> Changes | HistoryLost | StoreFailure:
         """Waits up to `wait_s` for changes after a position and returns them."""
-        if era_of(after) < self._era:
+        if after.era < self._era:
             return HistoryLost()
-        query = f"/api/kv-watch?prefix={quote(prefix, safe='/')}&after={revision_of(after)}"
+        query = f"/api/kv-watch?prefix={quote(prefix, safe='/')}&after={after.revision}"
         query += f"&waitMs={int(wait_s * MS_PER_S)}"
         answer = await self._call("GET", query, timeout_s=wait_s + WATCH_GRACE_S, gone_status=410)
         if isinstance(answer, StoreFailure):
             return answer
-        if answer.document is None or answer.era != era_of(after):
+        if answer.document is None or answer.era != after.era:
             return HistoryLost()
         try:
             events = tuple(_decode_event(event, answer.era) for event in answer.document["events"])
-            return Changes(events, position_at(answer.era, int(answer.document["asOf"])))
+            return Changes(events, Position(answer.era, require_int(answer.document["asOf"])))
         except DECODE_ERRORS as error:
             return StoreFailure(f"malformed answer to a watch: {error!r}")
 
@@ -208,11 +206,11 @@
         value = base64.b64decode(item["value"], validate=True)
     except (binascii.Error, TypeError):
         value = b""
-    return Item(str(item["key"]), value, position_at(era, int(item["revision"])))
+    return Item(str(item["key"]), value, Position(era, require_int(item["revision"])))
 
 
 def _decode_event(event: Any, era: int) -> Item | Removed:
     """Returns a changed or removed item; raises one of DECODE_ERRORS when it is malformed."""
     if event.get("tombstone"):
-        return Removed(str(event["key"]), position_at(era, int(event["revision"])))
+        return Removed(str(event["key"]), Position(era, require_int(event["revision"])))
     return _decode_item(event, era)
--- a/models/restored_store.py
+++ b/models/restored_store.py
@@ -16,14 +16,12 @@
 
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.storage import (
+    START,
     Changes,
     HistoryLost,
     Item,
     Listing,
     Position,
-    era_of,
-    position_at,
-    revision_of,
 )
 
 __all__ = ["Mutant", "build_model"]
@@ -74,7 +72,7 @@
     position: Position | None = None
     items: tuple[Item, ...] = ()
     changes: tuple[tuple[Position, str], ...] = ()
-    complete_after: Position = Position(0)
+    complete_after: Position = START
     matched_at: int = -1
 
     @classmethod
@@ -171,20 +169,20 @@
     replica = before.build_replica()
     answer: Changes | HistoryLost = HistoryLost()
     if replica.position is not None:
-        watched_era = era_of(replica.position) if mutant is Mutant.WATCH_ACROSS_ERAS else era
+        watched_era = replica.position.era if mutant is Mutant.WATCH_ACROSS_ERAS else era
         answer = _watch(store, replica.position, watched_era)
     if isinstance(answer, Changes):
         replica.apply_changes(answer)
     else:
         items = tuple(
-            Item(key, str(value).encode(), position_at(era, revision))
+            Item(key, str(value).encode(), Position(era, revision))
             for key, value, revision in store.items
         )
         kept = list(replica._changes) if mutant is Mutant.CHANGES_ACROSS_ERAS else []
         complete_after = replica._complete_after
-        replica.replace_items(Listing(items, position_at(era, store.revision)))
+        replica.replace_items(Listing(items, Position(era, store.revision)))
         if kept:
-            changed = [(position_at(era, store.revision), item.key) for item in items]
+            changed = [(Position(era, store.revision), item.key) for item in items]
             replica._changes.extend((*kept, *changed))
             replica._complete_after = complete_after
     return ReplicaState.from_replica(replica, len(state.contents) - 1)
@@ -193,24 +191,24 @@
 def _watch(store: StoreState, after: Position, era: int) -> Changes | HistoryLost:
     """Returns the changes after a position, or that the store does not have them."""
     first_kept = store.revision - len(store.history)
-    if era_of(after) != era or not first_kept <= revision_of(after) <= store.revision:
+    if after.era != era or not first_kept <= after.revision <= store.revision:
         return HistoryLost()
     events = tuple(
-        Item(key, str(value).encode(), position_at(era, revision))
+        Item(key, str(value).encode(), Position(era, revision))
         for key, value, revision in store.history
-        if revision > revision_of(after)
+        if revision > after.revision
     )
-    return Changes(events, position_at(era, store.revision))
+    return Changes(events, Position(era, store.revision))
 
 
 def _poll_reader(before: ReplicaState, reader: ReplicaState, mutant: Mutant) -> ReplicaState:
     """Returns a follower after a poll of a reader."""
     replica = before.build_replica()
-    after = replica.position or Position(0)
+    after = replica.position or START
     updates = reader.build_replica().read_updates(after)
     assert updates is not None
     if updates.as_of < after and mutant is Mutant.ACCEPT_OUTDATED:
-        updates = reader.build_replica().read_updates(Position(0))
+        updates = reader.build_replica().read_updates(START)
     elif updates.as_of < after:
         return before
     match updates:
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -99,11 +99,11 @@
     10: optional LoanRequest loan_request,
 }
 
-// One key of the platform's store, or its removal; `position` is the era and the revision of its change.
+// One key of the platform's store, or its removal, with the revision of its change.
 struct StoreEntry {
     1: string key,
     2: binary value,
-    3: i64 position,
+    3: i64 revision,
     4: bool removed,
 }
 
@@ -113,14 +113,15 @@
 }
 
 // What a daemon knows of the store: all keys, or the changes after the position that was asked.
-// `store` names the deployment; `age_ms` is the time since the sender's news came from the store,
+// `store` names the deployment, `era` and `revision` the state that this leads to; `age_ms` is the time since the sender's news came from the store,
 // `waited_ms` the time that it waited for news to tell. `news` is a StoreNews, compressed by zlib;
 // empty without a change.
 struct RelayAnswer {
     1: string store,
-    2: i64 as_of,
-    3: i32 age_ms,
-    4: bool complete,
+    2: i64 era,
+    3: i64 revision,
+    4: i32 age_ms,
+    5: bool complete,
     6: i32 waited_ms,
     7: binary news,
 }
--- a/tests/gateway/test_cut_watches.py
+++ b/tests/gateway/test_cut_watches.py
@@ -6,7 +6,7 @@
 from unittest.mock import patch
 
 from lycheepin.gateway import following
-from lycheepin.gateway.storage import Position, revision_of
+from lycheepin.gateway.storage import START
 from lycheepin.names import EndpointId
 from lycheepin.steering import store_contact
 from tests.gateway.deployment import DeploymentCase
@@ -39,9 +39,7 @@
             self.store.put("op/evacuate/north-1", {"number": number})
             revision = self.store.revision
             await self.wait_until(
-                lambda known=revision: (
-                    revision_of(gateway.replica.position or Position(0)) >= known
-                )
+                lambda known=revision: (gateway.replica.position or START).revision >= known
             )
 
     # Guards against endpoints that run being removed when their entries expired in an outage.
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -19,7 +19,7 @@
     poll_peer,
 )
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.gateway.storage import Changes, Item, Listing, Removed, position_at
+from lycheepin.gateway.storage import Changes, Item, Listing, Position, Removed
 from lycheepin.generated.messages import RelayAnswer
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.transport.calls import HttpClient
@@ -35,74 +35,82 @@
     return DaemonRecord(DaemonName(name), 1, zone, region, address, address, **values)
 
 
-def make_item(key: str, revision: int) -> Item:
-    return Item(key, b"\x00\xffvalue", revision)
+def at(revision: int, era: int = 0) -> Position:
+    return Position(era, revision)
+
+
+def make_item(key: str, revision: int, era: int = 0) -> Item:
+    return Item(key, b"\x00\xffvalue", at(revision, era))
 
 
 class StoreReplicaTest(unittest.IsolatedAsyncioTestCase):
     async def test_follower_gets_only_changes_after_its_revision(self) -> None:
         replica = StoreReplica()
-        self.assertIsNone(replica.read_updates(0))
-        replica.replace_items(Listing((make_item("a", 3),), 5))
-        replica.apply_changes(Changes((make_item("b", 6), Removed("a", 7)), 7))
-        self.assertEqual(replica.read_updates(6), Changes((Removed("a", 7),), 7))
-        self.assertEqual(replica.read_updates(7), Changes((), 7))
+        self.assertIsNone(replica.read_updates(at(0)))
+        replica.replace_items(Listing((make_item("a", 3),), at(5)))
+        replica.apply_changes(Changes((make_item("b", 6), Removed("a", at(7))), at(7)))
+        self.assertEqual(replica.read_updates(at(6)), Changes((Removed("a", at(7)),), at(7)))
+        self.assertEqual(replica.read_updates(at(7)), Changes((), at(7)))
 
     async def test_follower_behind_the_kept_changes_gets_a_listing(self) -> None:
         replica = StoreReplica()
-        replica.replace_items(Listing((make_item("a", 3),), 5))
-        replica.apply_changes(Changes((make_item("b", 6),), 6))
+        replica.replace_items(Listing((make_item("a", 3),), at(5)))
+        replica.apply_changes(Changes((make_item("b", 6),), at(6)))
         self.assertEqual(
-            replica.read_updates(2), Listing((make_item("a", 3), make_item("b", 6)), 6)
+            replica.read_updates(at(2)), Listing((make_item("a", 3), make_item("b", 6)), at(6))
         )
 
     async def test_number_of_kept_changes_is_limited(self) -> None:
         replica = StoreReplica()
-        replica.replace_items(Listing((), 1))
+        replica.replace_items(Listing((), at(1)))
         for revision in range(2, replica_module.MAX_KEPT_CHANGES + 10):
-            replica.apply_changes(Changes((make_item("a", revision),), revision))
-        self.assertIsInstance(replica.read_updates(1), Listing)
-        self.assertIsInstance(replica.read_updates(replica_module.MAX_KEPT_CHANGES), Changes)
+            replica.apply_changes(Changes((make_item("a", revision),), at(revision)))
+        self.assertIsInstance(replica.read_updates(at(1)), Listing)
+        self.assertIsInstance(replica.read_updates(at(replica_module.MAX_KEPT_CHANGES)), Changes)
 
     async def test_key_that_changed_often_is_sent_once(self) -> None:
         replica = StoreReplica()
-        replica.replace_items(Listing((), 1))
+        replica.replace_items(Listing((), at(1)))
         for revision in range(2, 40):
-            replica.apply_changes(Changes((make_item("configuration", revision),), revision))
-        replica.apply_changes(Changes((make_item("b", 41),), 41))
-        updates = Changes((make_item("configuration", 39), make_item("b", 41)), 41)
-        self.assertEqual(replica.read_updates(1), updates)
+            replica.apply_changes(Changes((make_item("configuration", revision),), at(revision)))
+        replica.apply_changes(Changes((make_item("b", 41),), at(41)))
+        updates = Changes((make_item("configuration", 39), make_item("b", 41)), at(41))
+        self.assertEqual(replica.read_updates(at(1)), updates)
 
     async def test_second_listing_sends_followers_only_differing_items(self) -> None:
         replica = StoreReplica()
-        replica.replace_items(Listing((make_item("a", 3), make_item("b", 4), make_item("c", 5)), 5))
-        replica.replace_items(Listing((make_item("a", 3), make_item("b", 7), make_item("d", 8)), 9))
-        updates = Changes((make_item("b", 7), Removed("c", 9), make_item("d", 8)), 9)
-        self.assertEqual(replica.read_updates(5), updates)
-        self.assertIsInstance(replica.read_updates(4), Listing)
+        replica.replace_items(
+            Listing((make_item("a", 3), make_item("b", 4), make_item("c", 5)), at(5))
+        )
+        replica.replace_items(
+            Listing((make_item("a", 3), make_item("b", 7), make_item("d", 8)), at(9))
+        )
+        updates = Changes((make_item("b", 7), Removed("c", at(9)), make_item("d", 8)), at(9))
+        self.assertEqual(replica.read_updates(at(5)), updates)
+        self.assertIsInstance(replica.read_updates(at(4)), Listing)
 
     async def test_change_already_in_a_listing_is_sent_again_after_it(self) -> None:
         replica = StoreReplica()
-        replica.replace_items(Listing((make_item("a", 3),), 5))
-        replica.replace_items(Listing((make_item("a", 12),), 10))
-        replica.apply_changes(Changes((make_item("a", 12), make_item("b", 9)), 12))
+        replica.replace_items(Listing((make_item("a", 3),), at(5)))
+        replica.replace_items(Listing((make_item("a", 12),), at(10)))
+        replica.apply_changes(Changes((make_item("a", 12), make_item("b", 9)), at(12)))
         self.assertEqual(
-            replica.read_updates(10), Changes((make_item("a", 12), make_item("b", 9)), 12)
+            replica.read_updates(at(10)), Changes((make_item("a", 12), make_item("b", 9)), at(12))
         )
 
     async def test_follower_of_an_earlier_era_gets_a_listing_and_one_of_a_later_era_nothing(
         self,
     ) -> None:
         replica = StoreReplica()
-        replica.replace_items(Listing((make_item("a", 3),), position_at(1, 5)))
-        replica.apply_changes(Changes((make_item("b", position_at(1, 90)),), position_at(1, 90)))
-        restored = Listing((make_item("a", position_at(2, 3)),), position_at(2, 6))
+        replica.replace_items(Listing((make_item("a", 3),), at(5, era=1)))
+        replica.apply_changes(Changes((make_item("b", 90, era=1),), at(90, era=1)))
+        restored = Listing((make_item("a", 3, era=2),), at(6, era=2))
         replica.replace_items(restored)
         for revision in (0, 4, 7, 90, 91):
-            self.assertEqual(replica.read_updates(position_at(1, revision)), restored)
-        self.assertEqual(replica.read_updates(position_at(2, 6)), Changes((), position_at(2, 6)))
-        ahead = position_at(3, 1)
-        self.assertEqual(replica.read_updates(ahead), Changes((), position_at(2, 6)))
+            self.assertEqual(replica.read_updates(at(revision, era=1)), restored)
+        self.assertEqual(replica.read_updates(at(6, era=2)), Changes((), at(6, era=2)))
+        ahead = at(1, era=3)
+        self.assertEqual(replica.read_updates(ahead), Changes((), at(6, era=2)))
         await replica.wait_for_updates(ahead, 1e9)
 
     async def test_age_counts_from_the_latest_confirmation(self) -> None:
@@ -139,26 +147,35 @@
 
 def make_answer(updates: Listing | Changes, store: str) -> RelayAnswer:
     complete = isinstance(updates, Listing)
-    return RelayAnswer(store, updates.as_of, 1500, complete, 0, encode_updates(updates))
+    return RelayAnswer(store, *updates.as_of, 1500, complete, 0, encode_updates(updates))
 
 
 class UpdateEncoding(unittest.TestCase):
     def test_decoded_updates_equal_the_encoded_ones(self) -> None:
         for updates in (
-            Changes((make_item("a", 3), Removed("b", 4)), 9),
-            Listing((make_item("a", 3),), 9),
-            Changes((), 9),
+            Changes((make_item("a", 3), Removed("b", at(4))), at(9)),
+            Listing((make_item("a", 3),), at(9)),
+            Changes((), at(9)),
         ):
             self.assertEqual(decode_updates(make_answer(updates, "s:1"), "s:1"), updates)
 
+    # Guards against revisions that run into the era (review/5).
+    def test_positions_of_any_size_are_kept(self) -> None:
+        for era, revision in ((0, 2**40), (3, 1_796_000_000_000), (10**12, 2**63 - 1)):
+            updates = Listing((make_item("a", revision, era=era),), at(revision, era=era))
+            self.assertEqual(decode_updates(make_answer(updates, "s:1"), "s:1"), updates)
+            self.assertLess(at(revision, era=era), at(1, era=era + 1))
+
     def test_answer_of_another_deployment_raises_value_error(self) -> None:
         with self.assertRaises(ValueError):
-            decode_updates(make_answer(Changes((), 1), "s:1"), "s:2")
+            decode_updates(make_answer(Changes((), at(1)), "s:1"), "s:2")
 
     def test_large_configuration_is_compressed_to_less_than_a_fifth(self) -> None:
         table = configuration(7, routes=1300)
         value = json.dumps(table).encode()
-        self.assertLess(len(encode_updates(Changes((Item("c", value, 2),), 2))), len(value) / 5)
+        self.assertLess(
+            len(encode_updates(Changes((Item("c", value, at(2)),), at(2)))), len(value) / 5
+        )
 
 
 class PollPeer(unittest.IsolatedAsyncioTestCase):
@@ -168,7 +185,7 @@
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.readuntil(b"\r\n\r\n")
             await asyncio.sleep(transfer_s + waited_s)
-            message = make_answer(Changes((), 9), "127.0.0.1:1")
+            message = make_answer(Changes((), at(9)), "127.0.0.1:1")
             message.waited_ms = int(waited_s * 1000)
             body = serialize(message, TCyBinaryProtocolFactory())
             writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
@@ -181,7 +198,7 @@
         store = SocketAddress(Address("127.0.0.1"), 1)
         http_client = HttpClient(Address("127.0.0.1"))
         self.addCleanup(http_client.close)
-        polled = await poll_peer(http_client, peer, store, 9, 5.0)
+        polled = await poll_peer(http_client, peer, store, at(9), 5.0)
         assert isinstance(polled, PeerUpdates), polled
         self.assertGreaterEqual(polled.age_s, 1.5 + transfer_s - 0.01)
         self.assertLess(polled.age_s, 1.5 + 5.0)
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -7,10 +7,10 @@
     Lease,
     LeaseEnded,
     Listing,
+    Position,
     Removed,
     Stored,
     StoreFailure,
-    position_at,
 )
 from lycheepin.platform.metadata import MetadataStore
 from lycheepin.transport.calls import HttpClient
@@ -36,18 +36,19 @@
         listing = await self.store.list_items("k/")
         assert isinstance(listing, Listing)
         self.assertEqual(len(listing.items), 12)
-        self.assertEqual(listing.as_of, self.stand_in.revision)
+        self.assertEqual(listing.as_of, Position(0, self.stand_in.revision))
 
     async def test_watch_returns_changes_removals_and_lost_history(self) -> None:
         self.stand_in.put("k/a", 1)
         self.stand_in.delete("k/a")
-        changes = await self.store.watch("k/", 1, 1.0)
+        changes = await self.store.watch("k/", Position(0, 1), 1.0)
         assert isinstance(changes, Changes)
         self.assertIsInstance(changes.events[1], Removed)
-        self.assertEqual(changes.as_of, 3)
-        self.assertEqual(await self.store.watch("k/", 3, 0.05), Changes((), 3))
+        self.assertEqual(changes.as_of, Position(0, 3))
+        at_end = Position(0, 3)
+        self.assertEqual(await self.store.watch("k/", at_end, 0.05), Changes((), at_end))
         self.stand_in.drop_history()
-        self.assertIsInstance(await self.store.watch("k/", 1, 1.0), HistoryLost)
+        self.assertIsInstance(await self.store.watch("k/", Position(0, 1), 1.0), HistoryLost)
 
     async def test_lease_can_be_renewed_until_it_ends(self) -> None:
         lease = await self.store.grant_lease(4.0)
@@ -75,19 +76,19 @@
         stored = self.stand_in.make_copy()
         for _ in range(8):
             self.stand_in.put("k/a", 2)
-        before = await self.store.watch("k/", position_at(0, 12), 0.05)
+        before = await self.store.watch("k/", Position(0, 12), 0.05)
         assert isinstance(before, Changes)
         self.stand_in.restore(stored)
         self.http_client.close()  # the store has closed the connections
         for _ in range(20):
             self.stand_in.put("k/b", 3)
-        for revision in (1, 9, 12, before.as_of, 90):
+        for revision in (1, 9, 12, before.as_of.revision, 90):
             with self.subTest(revision):
-                lost = await self.store.watch("k/", position_at(0, revision), 0.05)
+                lost = await self.store.watch("k/", Position(0, revision), 0.05)
                 self.assertEqual(lost, HistoryLost())
         watches = [call for call in self.stand_in.calls if "kv-watch" in call]
         self.assertEqual(len(watches), 2, "an earlier era than the store's is known to be lost")
-        changes = await self.store.watch("k/", position_at(1, self.stand_in.revision - 1), 0.05)
+        changes = await self.store.watch("k/", Position(1, self.stand_in.revision - 1), 0.05)
         assert isinstance(changes, Changes)
         self.assertGreater(changes.as_of, before.as_of)
         assert isinstance(changes.events[0], Item)
@@ -108,7 +109,7 @@
         self.assertIsInstance(await self.store.list_items("k/"), StoreFailure)
         listing = await self.store.list_items("k/")
         assert isinstance(listing, Listing)
-        self.assertEqual(listing.as_of, position_at(3, self.stand_in.revision))
+        self.assertEqual(listing.as_of, Position(3, self.stand_in.revision))
         self.stand_in.override_status = lambda target: None
         self.stand_in.era = 2
         self.assertIsInstance(await self.store.list_items("k/"), StoreFailure)
