Fields of entries are decoded with their ranges, so that an odd one ends nothing

What callers saw: with one entry whose `slots` has 400 digits, each request of its service ended with a closed connection at all gateways; with an address such as `bad..name:80`, those that were sent there. A name with a line end added header lines to the requests for its endpoint.

Cause: values of another writer were used before their range was known, and raised in a choice, a connection or a header, outside of the entry's decoding.

Ruled out: deep nesting and ports out of range, which were refused already.

Change: lycheepin/decoding.py declares each sort of field with its range or length; entries of endpoints, daemons and suspicions are decoded with msgspec, strictly. Addresses are IPv4, names are what a header can carry, reasons in the log have 200 characters at most. What daemons write for each other moved to gateway/own_entries.py, as it is no part of the platform's interface.

Why it works: nothing that can't be calculated with, logged or sent gets past the decoder.

tests/gateway/test_knowledge.py: one test expected this daemon's own entry in the directory without waiting for it. It failed once in a run beside other load, with the configuration read before the entry was written; it now waits for the entry first and checks the same.

--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -1,17 +1,80 @@
-"""Checks of single fields of messages that other programs sent."""
+"""Types of the fields of messages from outside, each with its range or length, and the decoder.
+
+No number that gets past it is too large to calculate with, and no text too long to log or
+impossible to encode.
+"""
 
 from __future__ import annotations
 
-from typing import Any
+import socket
+from collections.abc import Callable
+from typing import Annotated, Any, TypeVar
+
+from msgspec import Meta, MsgspecError, json
 
-__all__ = ["MAX_INT", "require_int"]
+__all__ = [
+    "MAX_REASON",
+    "Count",
+    "Milliseconds",
+    "Port",
+    "Quantity",
+    "SlotCount",
+    "Text",
+    "create_decoder",
+    "require_int",
+    "require_ipv4",
+]
 
 # Largest whole number that messages between daemons carry.
 MAX_INT = 2**63 - 1
+# Longest text of a field, in characters; keys of the store have at most 200 bytes.
+MAX_TEXT = 200
+MAX_PORT = 65_535
+# Largest number of slots of one endpoint; each running request needs a connection of its own.
+MAX_SLOTS = 65_535
+# Longest duration of a field, in milliseconds: a day.
+MAX_DURATION_MS = 86_400_000
+# Largest bandwidth, number of processors and the like.
+MAX_QUANTITY = 1e9
+# Longest reason for which a message is refused, in characters; it may quote the message.
+MAX_REASON = 200
+
+Count = Annotated[int, Meta(ge=0, le=MAX_INT)]
+Text = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT)]
+Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
+SlotCount = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
+Milliseconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
+Quantity = Annotated[float, Meta(ge=0, le=MAX_QUANTITY)]
+
+T = TypeVar("T")
+
+
+def create_decoder(message: type[T]) -> Callable[[bytes], T]:
+    """Returns the decoder of a message in JSON, which raises ValueError for any other content."""
+    decode = json.Decoder(message).decode
+
+    def decode_message(content: bytes) -> T:
+        try:
+            return decode(content)
+        except MsgspecError as error:
+            raise ValueError(str(error)[:MAX_REASON]) from error
+        except RecursionError as error:
+            raise ValueError("nested too deeply") from error
+
+    return decode_message
 
 
 def require_int(value: Any, minimum: int = 0, maximum: int = MAX_INT) -> int:
     """Returns `value` if it is an integer within the bounds; raises ValueError otherwise."""
     if not isinstance(value, int) or isinstance(value, bool) or not minimum <= value <= maximum:
-        raise ValueError(f"not an integer from {minimum} to {maximum}: {value!r}")
+        raise ValueError(f"not an integer from {minimum} to {maximum}: {value!r:.60}")
     return value
+
+
+def require_ipv4(text: str) -> str:
+    """Returns `text` if it is an IPv4 address with four numbers; raises ValueError otherwise."""
+    try:
+        socket.inet_pton(socket.AF_INET, text)
+    except OSError as error:
+        raise ValueError(f"not an IPv4 address: {text!r}") from error
+    return text
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
+from lycheepin.decoding import MAX_PORT
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
 from lycheepin.steering.store_contact import DEFAULT_HEARTBEAT_S
 
 __all__ = ["GatewaySettings", "SocketAddress"]
 
-MAX_PORT = 65_535
+_PORT_DIGITS = re.compile("[0-9]{1,5}")
 
 
 @dataclass(frozen=True)
@@ -24,6 +26,8 @@
     def parse(cls, text: str) -> SocketAddress:
         """Returns the address written as `host:port`; raises ValueError if malformed."""
         host, _, digits = text.rpartition(":")
+        if not host or not _PORT_DIGITS.fullmatch(digits):
+            raise ValueError(f"not host:port: {text!r:.60}")
         port = int(digits)
         if not 0 < port <= MAX_PORT:
             raise ValueError(f"not a port from 1 to {MAX_PORT}: {port}")
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -1,4 +1,4 @@
-"""Decodes entries of the platform's store, and encodes the entry of this daemon.
+"""Decodes entries of the platform's store.
 
 The key prefixes, field names and header names of the platform's interface are defined only here.
 """
@@ -6,18 +6,35 @@
 from __future__ import annotations
 
 import json
+import re
 from collections.abc import Mapping
 from dataclasses import dataclass
-from hashlib import blake2b
+from enum import Enum
 from typing import Any
 
-from lycheepin.decoding import require_int
+from msgspec import Struct
+
+from lycheepin.decoding import (
+    MAX_REASON,
+    Count,
+    Milliseconds,
+    SlotCount,
+    Text,
+    create_decoder,
+    require_ipv4,
+)
 from lycheepin.errors import DECODE_ERRORS
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.directory import DaemonRecord
+from lycheepin.gateway.own_entries import (
+    DAEMON_PREFIX,
+    SUSPICION_PREFIX,
+    decode_daemon,
+    decode_suspicion,
+)
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName, ZoneName
-from lycheepin.steering.endpoint import EndpointProcess, EndpointRecord
+from lycheepin.names import Address, EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.routes import (
     CallerLimits,
     RequestKind,
@@ -26,10 +43,9 @@
     ServiceShare,
     ServiceSpec,
 )
-from lycheepin.steering.suspects import Fingerprint, Suspicion
+from lycheepin.steering.suspects import Suspicion
 
 __all__ = [
-    "DAEMON_PREFIX",
     "HEADER_NAMES",
     "ConfigurationEntry",
     "DaemonEntry",
@@ -38,17 +54,12 @@
     "EvacuationEntry",
     "UnreadableEntry",
     "decode_entry",
-    "encode_daemon",
-    "encode_suspicion",
     "parse_key",
 ]
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
-DAEMON_PREFIX = "lycheepin/daemons/"
-SUSPICION_PREFIX = "lycheepin/suspicions/"
-SUSPICION_DIGEST_BYTES = 16
 MS_PER_S = 1000
 # Timeout in seconds of routes that set none; longer than any deadline of their callers.
 DEFAULT_TIMEOUT_S = 60.0
@@ -66,7 +77,30 @@
     rate_limit=b"server-limit",
 )
 
-_READY, _DRAINING = "ready", "draining"
+_ENDPOINT_NAME = re.compile(r"[!-~]{1,200}")
+
+
+class _EndpointState(Enum):
+    """What an endpoint says of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+class _EndpointFields(Struct, rename="camel"):
+    """Fields of an endpoint's entry; `born` distinguishes the processes under one name."""
+
+    service: Text
+    address: Text
+    zone: Text
+    slots: SlotCount
+    state: _EndpointState
+    cold_remaining_ms: Milliseconds
+    sequence: Count
+    born: Count = 0
+
+
+_decode_endpoint_fields = create_decoder(_EndpointFields)
 
 
 @dataclass(frozen=True)
@@ -149,16 +183,15 @@
     if entry_key.kind is EvacuationEntry:
         return EvacuationEntry(ZoneName(entry_key.name))
     try:
-        document = json.loads(value)
         if entry_key.kind is ConfigurationEntry:
-            return ConfigurationEntry(_decode_configuration(document))
+            return ConfigurationEntry(_decode_configuration(json.loads(value)))
         if entry_key.kind is DaemonEntry:
-            return DaemonEntry(_decode_daemon(entry_key.name, document))
+            return DaemonEntry(decode_daemon(entry_key.name, value))
         if entry_key.kind is Suspicion:
-            return _decode_suspicion(document)
-        return EndpointEntry(_decode_endpoint(entry_key.name, document, zones))
+            return decode_suspicion(value)
+        return EndpointEntry(_decode_endpoint(entry_key.name, value, zones))
     except DECODE_ERRORS as error:
-        return UnreadableEntry(f"{key}: {error!r}")
+        return UnreadableEntry(f"{key}: {error!r}"[:MAX_REASON])
 
 
 def _decode_configuration(document: Any) -> RoutingTable:
@@ -215,82 +248,27 @@
 
 
 def _decode_endpoint(
-    name: str, document: Any, zones: Mapping[ZoneName, RegionName]
+    name: str, value: bytes, zones: Mapping[ZoneName, RegionName]
 ) -> EndpointRecord:
-    """Returns one endpoint.
+    """Returns one endpoint; raises ValueError or KeyError when its entry is malformed.
 
-    `born` is the time at which the endpoint started; it distinguishes incarnations of one name.
+    Its name is sent in a header, so it may have no other characters than one.
     """
-    if document["state"] not in (_READY, _DRAINING):
-        raise ValueError(f"unknown state: {document['state']!r}")
-    zone = ZoneName(_require_string(document["zone"]))
-    address = SocketAddress.parse(_require_string(document["address"]))
-    cold_ms = document["coldRemainingMs"]
+    if not _ENDPOINT_NAME.fullmatch(name):
+        raise ValueError(f"not a name: {name!r}")
+    fields = _decode_endpoint_fields(value)
+    address = SocketAddress.parse(fields.address)
+    zone = ZoneName(fields.zone)
     return EndpointRecord(
         id=EndpointId(name),
-        service=ServiceName(_require_string(document["service"])),
-        address=address.host,
+        service=ServiceName(fields.service),
+        address=Address(require_ipv4(address.host)),
         port=address.port,
         zone=zone,
         region=zones[zone],
-        slots=require_int(document["slots"], 1),
-        draining=document["state"] == _DRAINING,
-        cold_s=float(cold_ms) / MS_PER_S,
-        started_ms=int(document.get("born", 0)),
-        sequence=require_int(document["sequence"], 0),
-    )
-
-
-def _require_string(value: Any) -> str:
-    """Returns `value` if it is a string; raises TypeError otherwise."""
-    if not isinstance(value, str):
-        raise TypeError(f"not a string: {value!r}")
-    return value
-
-
-def _decode_daemon(name: str, document: Any) -> DaemonRecord:
-    """Returns one daemon, as `encode_daemon` wrote it."""
-    return DaemonRecord(
-        DaemonName(name),
-        int(document["incarnation"]),
-        ZoneName(document["zone"]),
-        RegionName(document["region"]),
-        SocketAddress.parse(document["front"]),
-        SocketAddress.parse(document["control"]),
-        float(document.get("link_mbps", 0.0)),
-        float(document.get("processors", 0.0)),
-        None if document.get("era") is None else int(document["era"]),
+        slots=fields.slots,
+        draining=fields.state is _EndpointState.DRAINING,
+        cold_s=fields.cold_remaining_ms / MS_PER_S,
+        started_ms=fields.born,
+        sequence=fields.sequence,
     )
-
-
-def encode_daemon(record: DaemonRecord, era: int | None = None) -> bytes:
-    """Returns the value of a daemon's entry, written in an era of the store."""
-    return json.dumps(
-        {
-            "incarnation": record.incarnation,
-            "zone": record.zone,
-            "region": record.region,
-            "front": str(record.front),
-            "control": str(record.control),
-            "link_mbps": record.link_mbps,
-            "processors": record.processors,
-            "era": era,
-        }
-    ).encode()
-
-
-def encode_suspicion(suspicion: Suspicion) -> tuple[str, bytes]:
-    """Returns the key and the value of a suspicion; all daemons use the same key for it."""
-    fields: dict[str, Any] = {"fingerprint": suspicion.fingerprint}
-    fields |= {"endpoint": suspicion.process.id, "started_ms": suspicion.process.started_ms}
-    name = blake2b(json.dumps(fields).encode(), digest_size=SUSPICION_DIGEST_BYTES).hexdigest()
-    return SUSPICION_PREFIX + name, json.dumps(fields | {"refuted": suspicion.refuted}).encode()
-
-
-def _decode_suspicion(document: Any) -> Suspicion:
-    """Returns a suspicion; raises ValueError when it is malformed."""
-    match document:
-        case {"fingerprint": str(name), "endpoint": str(endpoint), "started_ms": int(started_ms)}:
-            process = EndpointProcess(EndpointId(endpoint), started_ms)
-            return Suspicion(Fingerprint(name), process, document["refuted"] is True)
-    raise ValueError(f"not a suspicion: {document!r}")
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -11,17 +11,13 @@
 
 from lycheepin.gateway.following import StoreSynchronizer
 from lycheepin.gateway.incoming import IncomingRequest
+from lycheepin.gateway.own_entries import DAEMON_PREFIX, encode_daemon, encode_suspicion
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
 from lycheepin.gateway.registration import Registration
 from lycheepin.gateway.storage import Lease
 from lycheepin.gateway.suspicion_writer import SuspicionWriter
 from lycheepin.names import RegionName, ZoneName
-from lycheepin.platform.entries import (
-    DAEMON_PREFIX,
-    HEADER_NAMES,
-    encode_daemon,
-    encode_suspicion,
-)
+from lycheepin.platform.entries import HEADER_NAMES
 from lycheepin.platform.metadata import MetadataStore
 from lycheepin.platform.reader import PlatformReader
 from lycheepin.platform.settings import SETTINGS_VARIABLE, SettingsError, load_settings
--- a/lycheepin/platform/reader.py
+++ b/lycheepin/platform/reader.py
@@ -5,10 +5,10 @@
 from collections.abc import Mapping
 
 from lycheepin.gateway.deployment_state import DeploymentState
+from lycheepin.gateway.own_entries import SUSPICION_PREFIX
 from lycheepin.gateway.storage import Item
 from lycheepin.names import DaemonName, EndpointId, RegionName, ZoneName
 from lycheepin.platform.entries import (
-    SUSPICION_PREFIX,
     ConfigurationEntry,
     DaemonEntry,
     EndpointEntry,
--- a/soak/world.py
+++ b/soak/world.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass
 from typing import Any
 
+from lycheepin.gateway.own_entries import DAEMON_PREFIX
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import Address
-from lycheepin.platform.entries import DAEMON_PREFIX
 from soak.daemons import BOUNDS, CONTROL_PORT, Daemon
 from soak.ledger import RequestLedger
 from soak.proxy import Proxy
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -238,6 +238,7 @@
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
         await self.wait_until_ready(gateway)
+        await self.wait_until(lambda: gateway.directory.names)
         entry = self.endpoints[0].build_entry("north-1")
         peer = {"incarnation": 1, "zone": "north-1", "region": "north", "link_mbps": 1e9}
         for port in (0, -1, 65_536, 10**9):
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -2,6 +2,7 @@
 import unittest
 
 from lycheepin.gateway.directory import DaemonRecord
+from lycheepin.gateway.own_entries import encode_daemon
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.platform.entries import (
@@ -11,7 +12,6 @@
     EvacuationEntry,
     UnreadableEntry,
     decode_entry,
-    encode_daemon,
 )
 from lycheepin.steering.routes import RequestKind
 from standins.servers import EndpointStandIn
