The first part of a body has a type of its own, so that it never passes for the whole

Cause: whether the buffered bytes were the whole body was asked of the request when an attempt began. If the rest had arrived since they were read, the first part was sent as the whole, and the rest was dropped.

Ruled out: framing on either side.

Change: read_up_to returns WholeBody or BodyStart; head, streaming and resending follow from the type.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -10,7 +10,7 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.gateway.incoming import IncomingRequest
+from lycheepin.gateway.incoming import BodyStart, IncomingRequest, RequestBody, WholeBody
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.idle_connections import IdleConnectionLimits
@@ -73,7 +73,7 @@
     async def make_attempt(
         self,
         request: IncomingRequest,
-        body: bytes,
+        body: RequestBody,
         endpoint: Endpoint,
         deadline_s: float,
         may_abandon: Callable[[], bool],
@@ -142,7 +142,7 @@
         self,
         connection: Connection,
         request: IncomingRequest,
-        body: bytes,
+        body: RequestBody,
         endpoint: Endpoint,
         deadline_s: float,
     ) -> AttemptOutcome:
@@ -151,11 +151,11 @@
         sent_s = asyncio.get_running_loop().time()
         left_s = deadline_s - sent_s
         connection.send_request_head(
-            self._build_head(request, body, endpoint, left_s) + body,
+            self._build_head(request, body, endpoint, left_s) + body.content,
             no_body=request.method == b"HEAD",
             accept=lambda head: self._belongs_to(head, identifier),
         )
-        if not request.body_complete:
+        if isinstance(body, BodyStart):
             await _stream_body(connection, request)
         head = await connection.head()
         connection.idle_limit_s = _read_idle_limit_s(head)
@@ -227,7 +227,7 @@
             self._log.write("endpoint_limit", endpoint=identifier, per_s=per_s, before=before)
 
     def _build_head(
-        self, request: IncomingRequest, body: bytes, endpoint: Endpoint, left_s: float
+        self, request: IncomingRequest, body: RequestBody, endpoint: Endpoint, left_s: float
     ) -> bytes:
         """Returns the head of the request to an endpoint.
 
@@ -243,14 +243,16 @@
         ]
         lines.append(header_names.time_left + b": %d" % max(1, int(left_s * MS_PER_S)))
         lines.append(header_names.expected_endpoint + b": " + endpoint.record.id.encode())
-        if request.body_complete:
-            if body or request.method not in _BODILESS_METHODS:
-                lines.append(b"content-length: %d" % len(body))
-        else:
-            length = request.header(b"content-length")
-            lines.append(b"content-length: " + length if length else b"transfer-encoding: chunked")
-            if not length:
-                return b"\r\n".join(lines) + b"\r\n\r\n%x\r\n" % len(body)
+        match body:
+            case WholeBody(content=content):
+                if content or request.method not in _BODILESS_METHODS:
+                    lines.append(b"content-length: %d" % len(content))
+            case BodyStart(content=content):
+                length = request.header(b"content-length")
+                if not length:
+                    lines.append(b"transfer-encoding: chunked")
+                    return b"\r\n".join(lines) + b"\r\n\r\n%x\r\n" % len(content)
+                lines.append(b"content-length: " + length)
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
--- a/lycheepin/gateway/incoming.py
+++ b/lycheepin/gateway/incoming.py
@@ -4,12 +4,21 @@
 
 import asyncio
 from collections import deque
+from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
 
 from lycheepin.transport.connection import Headers
 
-__all__ = ["MAX_BUFFERED_BODY_BYTES", "REASONS", "IncomingRequest", "RequestConnection"]
+__all__ = [
+    "MAX_BUFFERED_BODY_BYTES",
+    "REASONS",
+    "BodyStart",
+    "IncomingRequest",
+    "RequestBody",
+    "RequestConnection",
+    "WholeBody",
+]
 
 # Longest body that is buffered before the request is sent, so that it can be sent again.
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
@@ -18,6 +27,23 @@
 _NO_BODY_STATUSES = (204, 304)
 
 
+@dataclass(frozen=True)
+class WholeBody:
+    """A body that has arrived to its end."""
+
+    content: bytes
+
+
+@dataclass(frozen=True)
+class BodyStart:
+    """The first part of a body; the rest, which may be empty, is read from its request."""
+
+    content: bytes
+
+
+RequestBody = WholeBody | BodyStart
+
+
 class RequestConnection(Protocol):
     """The connection on which a request was received."""
 
@@ -104,17 +130,17 @@
         self._connection.resume_reading(self._buffered)
         return chunk
 
-    async def read_up_to(self, limit: int) -> bytes:
-        """Returns the body, or if it exceeds `limit` bytes, a first part that exceeds it."""
+    async def read_up_to(self, limit: int) -> RequestBody:
+        """Returns the whole body, or if it exceeds `limit` bytes, a first part that exceeds it."""
         parts: list[bytes] = []
         size = 0
         while size <= limit:
             chunk = await self.read_chunk()
             if not chunk:
-                break
+                return WholeBody(b"".join(parts))
             parts.append(chunk)
             size += len(chunk)
-        return b"".join(parts)
+        return BodyStart(b"".join(parts))
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete answer."""
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -9,7 +9,12 @@
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.fingerprints import fingerprint_request
-from lycheepin.gateway.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
+from lycheepin.gateway.incoming import (
+    MAX_BUFFERED_BODY_BYTES,
+    IncomingRequest,
+    RequestBody,
+    WholeBody,
+)
 from lycheepin.gateway.request_log import RequestLog
 from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
@@ -122,8 +127,10 @@
         except TimeoutError:
             self._finish_with_error(request, progress, ErrorKind.DEADLINE, None)
             return
-        progress.body_buffered = len(body) <= MAX_BUFFERED_BODY_BYTES
-        progress.fingerprint = fingerprint_request(request, body, (self._header_names.object_key,))
+        progress.body_buffered = isinstance(body, WholeBody)
+        progress.fingerprint = fingerprint_request(
+            request, body.content, (self._header_names.object_key,)
+        )
         try:
             await self._try_endpoints(request, body, progress, table)
         except asyncio.CancelledError:
@@ -142,7 +149,11 @@
         return int(value) / MS_PER_S if value.isdigit() else route.timeout_s
 
     async def _try_endpoints(
-        self, request: IncomingRequest, body: bytes, progress: RequestProgress, table: RoutingTable
+        self,
+        request: IncomingRequest,
+        body: RequestBody,
+        progress: RequestProgress,
+        table: RoutingTable,
     ) -> None:
         """Makes attempts until the request can be answered."""
         loop = asyncio.get_running_loop()
@@ -199,7 +210,7 @@
     async def _make_attempt(
         self,
         request: IncomingRequest,
-        body: bytes,
+        body: RequestBody,
         progress: RequestProgress,
         choice: SelectedEndpoint,
     ) -> tuple[AttemptOutcome, AttemptResult]:
@@ -215,7 +226,6 @@
             lambda: self._may_abandon(progress, endpoint),
         )
         result = Served(outcome.head.status) if isinstance(outcome, EndpointAnswer) else outcome
-        progress.body_buffered = request.body_complete and len(body) <= MAX_BUFFERED_BODY_BYTES
         change = progress.record_result(result, endpoint, self._registry, loop.time())
         self._log.write_endpoint_change(change, endpoint)
         self._log.write_attempt(request, progress, choice, started_s, result)
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -165,7 +165,7 @@
 
     async def _handle(self, request: IncomingRequest) -> None:
         """Answers one call, or makes it fail in the way that is set."""
-        body = await request.read_up_to(1 << 20)
+        body = (await request.read_up_to(1 << 20)).content
         target = request.target.decode()
         self.calls.append(f"{request.method.decode()} {target}")
         if self.unresponsive:
