Numbers in headers that are too large count as absent

What callers saw: a request whose endpoint answered with a load report or an idle timeout of 400 digits, or that named such a deadline itself, ended with a closed connection and no answer.

Cause: the digits were read without a limit; arithmetic with the result raised OverflowError, and more than 4,300 digits ValueError, where an attempt expects neither.

Change: parse_count reads up to 12 digits; anything else counts as absent, as malformed ones did.

Tests: tests/gateway/test_odd_headers.py, which failed on the code before.

--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 import socket
 from collections.abc import Callable
 from typing import Annotated, Any, TypeVar
@@ -21,6 +22,7 @@
     "SlotCount",
     "Text",
     "create_decoder",
+    "parse_count",
     "require_int",
     "require_ipv4",
 ]
@@ -46,6 +48,8 @@
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 Quantity = Annotated[float, Meta(ge=0, le=MAX_QUANTITY)]
 
+_COUNT_DIGITS = re.compile(rb"[0-9]{1,12}")
+
 T = TypeVar("T")
 
 
@@ -64,6 +68,11 @@
     return decode_message
 
 
+def parse_count(value: bytes) -> int | None:
+    """Returns the whole number in a header; None if there is none or it has too many digits."""
+    return int(value) if _COUNT_DIGITS.fullmatch(value) else None
+
+
 def require_int(value: Any, minimum: int = 0, maximum: int = MAX_INT) -> int:
     """Returns `value` if it is an integer within the bounds; raises ValueError otherwise."""
     if not isinstance(value, int) or isinstance(value, bool) or not minimum <= value <= maximum:
--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from lycheepin.decoding import parse_count
 from lycheepin.errors import ErrorKind
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
@@ -198,9 +199,12 @@
         """
         value = head.header(self._header_names.load)
         parts = value.split(b",") if value is not None else []
-        if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-            return True
-        running, waiting, slots = (int(part) for part in parts)
+        counts = [parse_count(part.strip()) for part in parts]
+        match counts:
+            case [int(running), int(waiting), int(slots)]:
+                pass
+            case _:
+                return True
         now_s = asyncio.get_running_loop().time()
         endpoint.observe_load(now_s, running, waiting)
         return running + waiting >= slots
@@ -302,8 +306,8 @@
     value = head.header(b"keep-alive") or b""
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
-        if name == b"timeout" and number.isdigit():
-            timeout_s = int(number)
+        timeout_s = parse_count(number)
+        if name == b"timeout" and timeout_s is not None:
             return max(timeout_s - IDLE_TIMEOUT_MARGIN_S, IDLE_TIMEOUT_FRACTION * timeout_s)
     return DEFAULT_IDLE_LIMIT_S
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import defaultdict
 
+from lycheepin.decoding import parse_count
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
@@ -145,8 +146,8 @@
 
     def _read_time_left_s(self, request: IncomingRequest, route: Route) -> float:
         """Returns the time to the caller's deadline, in seconds; by default the route's timeout."""
-        value = request.header(self._header_names.time_left) or b""
-        return int(value) / MS_PER_S if value.isdigit() else route.timeout_s
+        left_ms = parse_count(request.header(self._header_names.time_left) or b"")
+        return left_ms / MS_PER_S if left_ms is not None else route.timeout_s
 
     async def _try_endpoints(
         self,
--- /dev/null
+++ b/tests/gateway/test_odd_headers.py
@@ -0,0 +1,48 @@
+"""Headers with numbers that are too large, from endpoints and from callers."""
+
+from __future__ import annotations
+
+from tests.gateway.deployment import DeploymentCase, request
+
+DIGITS = "9" * 400
+MANY_DIGITS = "9" * 5000
+
+
+class OddHeaders(DeploymentCase):
+    # Guards against a number in an endpoint's answer that ends the request without an answer.
+    async def test_answer_with_numbers_too_large_is_forwarded(self) -> None:
+        for number in (DIGITS, MANY_DIGITS, f"-{DIGITS}", "9e999", "nan"):
+            for headers in (
+                f"Server-Load: {number},0,4",
+                f"Server-Load: 1,{number},4",
+                f"Server-Load: 1,0,{number}",
+                f"Keep-Alive: timeout={number}",
+                f"Server-Limit: {number}",
+            ):
+                with self.subTest(headers[:30]):
+                    await self._forward(headers)
+
+    async def _forward(self, headers: str) -> None:
+        """Checks that the answers of an endpoint with additional headers reach their callers."""
+
+        async def answer(received: object) -> bytes:
+            lines = ("HTTP/1.1 200 OK", "Response-Signature: s", "Content-Length: 2", headers)
+            return "\r\n".join(lines).encode() + b"\r\n\r\nok"
+
+        await self.asyncTearDown()
+        await self.asyncSetUp()
+        await self.add_endpoint("a", answer)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for number in range(3):
+            content = request(identifier=f"r{number}")
+            status, _, body = await self.send_request(gateway, content)
+            self.assertEqual((status, body), (200, b"ok"))
+
+    async def test_deadline_that_is_too_large_counts_as_none(self) -> None:
+        await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for number in (DIGITS, "9" * 3000):
+            status, _, _ = await self.send_request(gateway, request(Deadline_Ms=number))
+            self.assertEqual(status, 200)
