A watch whose answer is too large or can't be read is replaced by a listing

Cause: such an answer counted as a failure, and the same watch was sent again, with the same answer, until the store dropped its history.

Change: the two count as lost history; a listing comes in pages and has what the changes led to.

--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -34,6 +34,8 @@
 # Time in seconds by which the answer to a watch may exceed the requested waiting time.
 WATCH_GRACE_S = 0.6
 MS_PER_S = 1000
+# Status of the answer to a watch whose changes the store no longer has.
+HISTORY_GONE = 410
 # Header of all answers: how often the store has come back from a copy.
 ERA_HEADER = b"store-era"
 # Longest era that is read, in digits: the ones that 64 bits have room for.
@@ -90,12 +92,18 @@
     async def watch(
         self, prefix: str, after: Position, wait_s: float
     ) -> Changes | HistoryLost | StoreFailure:
-        """Waits up to `wait_s` for changes after a position and returns them."""
+        """Waits up to `wait_s` for changes after a position and returns them.
+
+        Changes that can't be read, or are too many for an answer, count as lost history: the same
+        call would bring them again, and a listing has what they led to.
+        """
         if after.era < self._era:
             return HistoryLost()
         query = f"/api/kv-watch?prefix={quote(prefix, safe='/')}&after={after.revision}"
         query += f"&waitMs={int(wait_s * MS_PER_S)}"
-        answer = await self._call("GET", query, timeout_s=wait_s + WATCH_GRACE_S, gone_status=410)
+        answer = await self._call(
+            "GET", query, timeout_s=wait_s + WATCH_GRACE_S, gone_status=HISTORY_GONE
+        )
         if isinstance(answer, StoreFailure):
             return answer
         if answer.document is None or answer.era != after.era:
@@ -103,8 +111,8 @@
         try:
             events = tuple(_decode_event(event, answer.era) for event in answer.document["events"])
             return Changes(events, Position(answer.era, require_int(answer.document["asOf"])))
-        except DECODE_ERRORS as error:
-            return StoreFailure(f"malformed answer to a watch: {error!r}")
+        except DECODE_ERRORS:
+            return HistoryLost()
 
     async def grant_lease(self, ttl_s: float) -> Lease | StoreFailure:
         """Returns a new lease."""
@@ -176,6 +184,8 @@
             timeout_s,
         )
         if isinstance(answer, CallFailure):
+            if answer.too_large and gone_status == HISTORY_GONE:
+                return _Answer(self._era, None)
             return StoreFailure(answer.reason, answer.silent_s, closed=not answer.silent_s)
         era = self._read_era(answer)
         if era < self._era:
--- a/lycheepin/transport/calls.py
+++ b/lycheepin/transport/calls.py
@@ -15,6 +15,10 @@
 MAX_BODY_S = 8.0
 
 
+class _OversizedAnswer(BrokenAnswer):
+    """The body of an answer is larger than MAX_ANSWER_BYTES."""
+
+
 @dataclass(frozen=True)
 class CallAnswer:
     """The complete answer to a call."""
@@ -33,12 +37,14 @@
     """A call without a complete answer; it may have taken effect if `sent` is true.
 
     `silent_s` is the time in seconds for which the peer had shown no sign of life: all of the
-    call's time if it timed out, 0 if the connection was refused or closed.
+    call's time if it timed out, 0 if the connection was refused or closed. `too_large` is true if
+    the answer had more than MAX_ANSWER_BYTES.
     """
 
     sent: bool
     reason: str
     silent_s: float = 0.0
+    too_large: bool = False
 
 
 class HttpClient:
@@ -79,7 +85,9 @@
                 connection.close()
             elapsed_s = asyncio.get_running_loop().time() - started_s
             silent_s = elapsed_s if isinstance(error, TimeoutError) else 0.0
-            return CallFailure(connection is not None and connection.sent, repr(error), silent_s)
+            too_large = isinstance(error, _OversizedAnswer)
+            sent = connection is not None and connection.sent
+            return CallFailure(sent, repr(error), silent_s, too_large)
         except asyncio.CancelledError:
             if connection is not None:
                 connection.close()
@@ -106,7 +114,7 @@
     async for chunk in connection.body():
         received_bytes += len(chunk)
         if received_bytes > MAX_ANSWER_BYTES:
-            raise BrokenAnswer(f"body is larger than {MAX_ANSWER_BYTES} bytes")
+            raise _OversizedAnswer(f"body is larger than {MAX_ANSWER_BYTES} bytes")
         chunks.append(chunk)
         timer.reschedule(min(end_s, loop.time() + chunk_timeout_s))
     return b"".join(chunks)
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -1,8 +1,10 @@
 import asyncio
 import json
+from unittest.mock import patch
 
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import DaemonName, EndpointId
+from lycheepin.transport import calls
 from tests.gateway.deployment import (
     HOST,
     DeploymentCase,
@@ -62,6 +64,28 @@
         watches = [call for call in self.store.calls[calls:] if "kv-watch" in call]
         self.assertIn("waitMs=100", watches[0])
 
+    # Guards against changes that are too many for one answer being asked for again and again.
+    @patch.object(calls, "MAX_ANSWER_BYTES", 64 * 1024)
+    async def test_listing_replaces_changes_that_are_larger_than_an_answer(self) -> None:
+        endpoint = await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for number in range(20):
+            self.store.put(f"servers/odd-{number}", b"x" * 8000)
+        self.store.put("servers/b", endpoint.build_entry("north-1"))
+        await self.wait_until(lambda: gateway.registry.get(EndpointId("b")))
+        self.store.put("op/config", configuration(9))
+        await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 9)
+
+    async def test_listing_replaces_changes_that_cannot_be_read(self) -> None:
+        await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        self.store.put("servers/odd", b"{}")
+        self.store.items.pop("servers/odd")["revision"] -= 0.5  # the event is the same object
+        self.store.put("op/config", configuration(9))
+        await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 9)
+
 
 class Endpoints(DeploymentCase):
     async def test_malformed_entries_add_no_endpoint(self) -> None:
