An entry with a field missing or of another type names no endpoint

Cause: fields were checked one by one, where earlier faults had shown the need; others were converted, and `version` wasn't looked at.

Change: `version` is declared beside the others; the strict decoder refuses other types.

Test: each field left out and with each other JSON type; failed on the code before.

--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -93,6 +93,7 @@
     service: Text
     address: Text
     zone: Text
+    version: Text
     slots: SlotCount
     state: _EndpointState
     cold_remaining_ms: Milliseconds
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -104,6 +104,27 @@
                 value = json.dumps(build_entry(address=address)).encode()
                 self.assertIsInstance(decode(value), UnreadableEntry)
 
+    # Guards against an entry with a field missing or of another type being used: requests ran at
+    # the endpoint of another service (review/3).
+    def test_entry_with_a_field_missing_or_of_another_type_is_refused(self) -> None:
+        wrong: dict[type, tuple[Any, ...]] = {
+            str: (None, 7, True, [], {}, ["desk"]),
+            int: (None, "7", True, False, 1.5, [], {}),
+        }
+        for field, right in build_entry().items():
+            without = {name: value for name, value in build_entry().items() if name != field}
+            is_optional = field == "born"  # counts as 0
+            self.assertIsInstance(
+                decode(json.dumps(without).encode()),
+                EndpointEntry if is_optional else UnreadableEntry,
+            )
+            for value in wrong[type(right)]:
+                if field == "coldRemainingMs" and value == 1.5:
+                    continue  # a duration may have a fraction
+                with self.subTest(field=field, value=value):
+                    content = json.dumps(build_entry(**{field: value})).encode()
+                    self.assertIsInstance(decode(content), UnreadableEntry)
+
     # Guards against a name that adds header lines to the requests for an endpoint.
     def test_name_that_cannot_be_sent_in_a_header_is_refused(self) -> None:
         value = json.dumps(build_entry()).encode()
