An odd entry no longer outlives the true ones of its endpoint

What callers saw: nothing yet; driven directly, an entry of another writer with a high `sequence` hid the draining of its endpoint for good, and one with a long cold time kept it cold.

Cause: a lower `sequence` counted as older at any time, though only a restored copy of the store can bring back something older; the cold time was the latest end of all entries.

Change: `sequence` is compared for what a copy brought back, while it may lack entries. The newest entry alone gives the cold time, and one that is listed again doesn't start it anew.

--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -75,6 +75,7 @@
         self._answers: dict[ServiceName, int] = {}
         self._removed: OrderedDict[EndpointProcess, int] = OrderedDict()
         self._removed_before_copy: dict[EndpointProcess, int] = {}
+        self._known_before_copy: dict[EndpointProcess, int] = {}
         self._unlisted_evacuations: dict[ZoneName, float] = {}
         self.on_removed: Callable[[EndpointRecord], None] = lambda record: None
 
@@ -156,9 +157,8 @@
     def register(self, record: EndpointRecord, now_s: float) -> bool:
         """Adds or updates an endpoint; returns whether this changes which endpoints are usable.
 
-        A record with another start time replaces the endpoint: it is another process. One that is
-        older than what is known of the process, as from a restored copy of the store, changes
-        nothing.
+        A record with another start time replaces the endpoint: it is another process. One from a
+        restored copy of the store that is older than what is known of the process changes nothing.
         """
         current = self._endpoints.get(record.id)
         if self._had_left(record):
@@ -175,17 +175,16 @@
             return True
         was_missing = current.missing_since_s is not None
         self._mark_missing(current, None)
-        if record.sequence < current.record.sequence:
+        if self._is_outdated(record, now_s):
             return was_missing
         changed = was_missing or current.record.draining != record.draining
+        if current.record != record:
+            current.cold_until_s = now_s + record.cold_s
         if _group_of(current.record) != _group_of(record):
             self._remove_from_orders(current)
             current.record = record
             self._add_to_orders(current)
         current.record = record
-        current.cold_until_s = (
-            max(current.cold_until_s, now_s + record.cold_s) if record.cold_s else 0
-        )
         return changed
 
     def remove(self, endpoint_id: EndpointId, now_s: float) -> bool:
@@ -223,6 +222,10 @@
         before stay removed until they write again.
         """
         self._removed_before_copy = dict(self._removed)
+        self._known_before_copy = {
+            endpoint.record.process: endpoint.record.sequence
+            for endpoint in self._endpoints.values()
+        }
         self.contact.observe_restored_store(now_s)
 
     def expire_missing(self, now_s: float) -> list[EndpointId]:
@@ -289,6 +292,15 @@
         sequence = self._removed_before_copy.get(record.process)
         return sequence is not None and record.sequence <= sequence
 
+    def _is_outdated(self, record: EndpointRecord, now_s: float) -> bool:
+        """Returns whether a record is older than what was known of its process before a copy.
+
+        Within an era, the order of the store's changes tells which record is the newest.
+        """
+        if not self.contact.may_lack_entries(now_s):
+            self._known_before_copy.clear()
+        return record.sequence < self._known_before_copy.get(record.process, 0)
+
     def _mark_missing(self, endpoint: Endpoint, since_s: float | None) -> None:
         """Records since when an endpoint is missing from the store; None if it is listed."""
         self.missing_count += (since_s is not None) - (endpoint.missing_since_s is not None)
