One VM that can't be read costs that VM, not the list of the own interface

What callers saw: a daemon that no longer followed the list of VMs after one odd entry in it: endpoints that left were used on, new ones not at all. Ports of 99999 and slots of 400 digits were accepted.

Cause: the list was decoded as a whole, with conversions in the place of checks.

Change: the texts of the VMs are split without decoding, so that one which is nested too deeply or has an unpaired surrogate leaves the others readable; each is decoded with the types of lycheepin/decoding.py and left out with a line in the log if it is malformed.

--- a/lycheepin/daemon/node.py
+++ b/lycheepin/daemon/node.py
@@ -120,6 +120,8 @@
                 return True
             if document.name == self.vm_list_name:
                 self.vm_list = decode_vm_list(document.content)
+                for reason in self.vm_list.unreadable:
+                    self.log.warning("VM left out of the list: {}", reason)
                 self._apply_entries(self.vm_list)
                 return True
         except ValueError as error:
--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -25,6 +25,7 @@
     "parse_count",
     "require_int",
     "require_ipv4",
+    "split_lists",
 ]
 
 # Largest whole number that messages between daemons carry.
@@ -48,6 +49,8 @@
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
 Quantity = Annotated[float, Meta(ge=0, le=MAX_QUANTITY)]
 
+# Strings, and the characters that structure a JSON text.
+_STRUCTURE = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{},]', re.DOTALL)
 _COUNT_DIGITS = re.compile(rb"[0-9]{1,12}")
 
 T = TypeVar("T")
@@ -68,6 +71,34 @@
     return decode_message
 
 
+def split_lists(content: bytes) -> tuple[bytes, dict[bytes, list[bytes]]]:
+    """Returns a JSON object with its lists emptied, and the texts of the items of each list.
+
+    The lists are keyed by their quoted names. Nothing is decoded: an item that can't be, such as
+    one that is nested too deeply, leaves the others readable.
+    """
+    lists: dict[bytes, list[bytes]] = {}
+    kept: list[bytes] = []
+    name, depth, start, in_list = b"", 0, 0, False
+    for match in _STRUCTURE.finditer(content):
+        token = match[0]
+        if token in b"[{":
+            depth += 1
+            if depth == 2 and token == b"[":
+                kept.append(content[start : match.end()])
+                start, in_list = match.end(), True
+        elif token in b"]},":
+            if in_list and depth == 2:
+                if item := content[start : match.start()].strip():
+                    lists.setdefault(name, []).append(item)
+                start = match.end() if token == b"," else match.start()
+                in_list = token == b","
+            depth -= token != b","
+        elif depth == 1:
+            name = token
+    return b"".join((*kept, content[start:])), lists
+
+
 def parse_count(value: bytes) -> int | None:
     """Returns the whole number in a header; None if there is none or it has too many digits."""
     return int(value) if _COUNT_DIGITS.fullmatch(value) else None
--- a/lycheepin/sources/vms.py
+++ b/lycheepin/sources/vms.py
@@ -2,13 +2,23 @@
 
 from __future__ import annotations
 
-import json
+from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any, Protocol
+from typing import Protocol, TypeVar
 from urllib.parse import quote
 
-from lycheepin.errors import DECODE_ERRORS
+from msgspec import Struct
+
+from lycheepin.decoding import (
+    Count,
+    Port,
+    SlotCount,
+    Text,
+    create_decoder,
+    require_ipv4,
+    split_lists,
+)
 from lycheepin.generated.settings import Address as AddressSetting
 from lycheepin.names import Address, QualifiedName, RegionName, Revision, ZoneName
 from lycheepin.transport.calls import CallAnswer, HttpClient
@@ -24,6 +34,9 @@
 ]
 
 
+V = TypeVar("V")
+
+
 class VmState(Enum):
     """State of a VM in the platform's list."""
 
@@ -59,47 +72,96 @@
 
 @dataclass(frozen=True)
 class VmList:
-    """The list of VMs at one revision."""
+    """The list of VMs at one revision, and the reasons why others in it could not be read."""
 
     revision: Revision
     endpoints: tuple[EndpointVm, ...] = ()
     entries: tuple[EntryVm, ...] = ()
+    unreadable: tuple[str, ...] = ()
+
+
+class _EntryVmFields(Struct):
+    """Fields of an entry VM in the platform's list."""
+
+    name: Text
+    address: Text
+    port: Port
+    zone: Text
+    region: Text
+    state: VmState
+
+
+class _EndpointVmFields(_EntryVmFields):
+    """Fields of an endpoint in the platform's list."""
+
+    service: Text
+    slots: SlotCount
+
+
+class _VmListFields(Struct):
+    """Fields of the platform's list without its VMs, which are decoded one by one."""
+
+    revision: Count
+    endpoints: list[None]
+    entries: list[None]
+
+
+_decode_list_fields = create_decoder(_VmListFields)
+_decode_endpoint_fields = create_decoder(_EndpointVmFields)
+_decode_entry_fields = create_decoder(_EntryVmFields)
 
 
 def decode_vm_list(content: bytes) -> VmList:
-    """Returns the list encoded in `content`; raises ValueError when it is malformed."""
-    try:
-        value = json.loads(content)
-        endpoints = tuple(_decode_endpoint(item) for item in value["endpoints"])
-        entries = tuple(_decode_entry(item) for item in value["entries"])
-        return VmList(Revision(int(value["revision"])), endpoints, entries)
-    except DECODE_ERRORS as error:
-        raise ValueError(f"not a VM list: {error!r}") from error
-
-
-def _decode_endpoint(item: dict[str, Any]) -> EndpointVm:
-    """Returns one endpoint of the list."""
+    """Returns the list encoded in `content`; raises ValueError when it is malformed.
+
+    A malformed VM is left out; `unreadable` has the reason.
+    """
+    emptied, lists = split_lists(content)
+    fields = _decode_list_fields(emptied)
+    unreadable: list[str] = []
+    endpoints = _decode_each(lists.get(b'"endpoints"', []), _decode_endpoint, unreadable)
+    entries = _decode_each(lists.get(b'"entries"', []), _decode_entry, unreadable)
+    return VmList(Revision(fields.revision), endpoints, entries, tuple(unreadable))
+
+
+def _decode_each(
+    items: list[bytes], decode: Callable[[bytes], V], unreadable: list[str]
+) -> tuple[V, ...]:
+    """Returns the VMs that can be decoded, and adds the reasons for the others."""
+    vms: list[V] = []
+    for item in items:
+        try:
+            vms.append(decode(item))
+        except ValueError as error:
+            unreadable.append(str(error))
+    return tuple(vms)
+
+
+def _decode_endpoint(content: bytes) -> EndpointVm:
+    """Returns one endpoint of the list; raises ValueError when it is malformed."""
+    fields = _decode_endpoint_fields(content)
     return EndpointVm(
-        name=QualifiedName.parse(item["name"]),
-        service=QualifiedName.parse(item["service"]),
-        address=Address(item["address"]),
-        port=int(item["port"]),
-        zone=ZoneName(item["zone"]),
-        region=RegionName(item["region"]),
-        slots=int(item["slots"]),
-        state=VmState(item["state"]),
+        name=QualifiedName.parse(fields.name),
+        service=QualifiedName.parse(fields.service),
+        address=Address(require_ipv4(fields.address)),
+        port=fields.port,
+        zone=ZoneName(fields.zone),
+        region=RegionName(fields.region),
+        slots=fields.slots,
+        state=fields.state,
     )
 
 
-def _decode_entry(item: dict[str, Any]) -> EntryVm:
-    """Returns one entry VM of the list."""
+def _decode_entry(content: bytes) -> EntryVm:
+    """Returns one entry VM of the list; raises ValueError when it is malformed."""
+    fields = _decode_entry_fields(content)
     return EntryVm(
-        name=QualifiedName.parse(item["name"]),
-        address=Address(item["address"]),
-        port=int(item["port"]),
-        zone=ZoneName(item["zone"]),
-        region=RegionName(item["region"]),
-        state=VmState(item["state"]),
+        name=QualifiedName.parse(fields.name),
+        address=Address(require_ipv4(fields.address)),
+        port=fields.port,
+        zone=ZoneName(fields.zone),
+        region=RegionName(fields.region),
+        state=fields.state,
     )
 
 
