An answer without an id is skipped on a connection that has carried a request before

A faulty endpoint sent an additional refusal without an id after a complete answer, when the next payment was already on its connection; it was taken for the answer to that payment and for the promise that it hadn't run.

Cause: an answer without an id was accepted for whatever request the connection carried.

Change: it is skipped like an answer with another id; the attempt waits for the true one for as long as an endpoint may be silent, then the outcome is unknown. On a new connection it is believed.

Why it works: no promise is read from an answer that may belong to no request.

Tests: tests/gateway/test_answers.py; failed on the code before in both parts.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -97,7 +97,7 @@
                 connection = await self._pool.acquire(record.address, record.port, max_rest_s)
                 started_s = loop.time()
                 watchdog = _ResponseWatchdog(self._registry, endpoint, timer, may_abandon)
-                outcome = await self._send_request(connection, request, body, endpoint, deadline_s)
+                outcome = await self._send_request(connection, request, body, endpoint, timer)
             if isinstance(outcome, EndpointAnswer):
                 self._registry.observe_answer(endpoint, loop.time(), loop.time() - started_s)
         except (BrokenAnswer, OSError, TimeoutError) as error:
@@ -145,16 +145,18 @@
         request: IncomingRequest,
         body: RequestBody,
         endpoint: Endpoint,
-        deadline_s: float,
+        timer: asyncio.Timeout,
     ) -> AttemptOutcome:
-        """Sends the request and returns the answer, or that the request did not run."""
-        identifier = request.header(self._header_names.request_id)
+        """Sends the request and returns the answer, or that the request did not run.
+
+        `timer` ends the attempt, at its deadline at first.
+        """
         sent_s = asyncio.get_running_loop().time()
-        left_s = deadline_s - sent_s
+        left_s = (timer.when() or sent_s) - sent_s
         connection.send_request_head(
             self._build_head(request, body, endpoint, left_s) + body.content,
             no_body=request.method == b"HEAD",
-            accept=lambda head: self._belongs_to(head, identifier),
+            accept=lambda head: self._accept_answer(head, request, connection, endpoint, timer),
         )
         if isinstance(body, BodyStart):
             await _stream_body(connection, request)
@@ -187,10 +189,31 @@
         if await self._pool.is_refused(record.address, record.port):
             raise BrokenAnswer("the endpoint ended with an answer without a length")
 
-    def _belongs_to(self, head: AnswerHead, identifier: bytes | None) -> bool:
-        """Returns whether an answer is for a request id; true if either has no id."""
+    def _accept_answer(
+        self,
+        head: AnswerHead,
+        request: IncomingRequest,
+        connection: Connection,
+        endpoint: Endpoint,
+        timer: asyncio.Timeout,
+    ) -> bool:
+        """Returns whether an answer belongs to a request.
+
+        One without an id does on a new connection; later it may be an extra answer to an earlier
+        request, whose endpoint names ids. The true one may follow it within the time for which an
+        endpoint may be silent; nothing is known of the request if none does.
+        """
+        identifier = request.header(self._header_names.request_id)
         echoed = head.header(self._header_names.request_id)
-        return echoed is None or identifier is None or echoed == identifier
+        if identifier is None or echoed == identifier:
+            return True
+        if echoed is not None or not connection.reused:
+            return echoed is None
+        now_s = asyncio.get_running_loop().time()
+        given_up_s = now_s + self._registry.unresponsive_limit_s(endpoint, now_s)
+        timer.reschedule(min(timer.when() or given_up_s, given_up_s))
+        self._log.write("answer_without_id", endpoint=endpoint.record.id, status=head.status)
+        return False
 
     def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> bool:
         """Records the load that an answer reports; returns whether all slots were in use.
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -63,6 +63,7 @@
 
     It is not reused if `close_after_use` is set, or after it was idle for `idle_limit_s`.
     `rested_s` is how long it was idle before the present request; 0 for the first one.
+    `reused` is true if it has carried another request before the present one.
     `answer_begun` is true once any byte has arrived after the present request.
     """
 
@@ -89,6 +90,7 @@
         self._ends_at_close = False
         self._continue_or_head: asyncio.Event = asyncio.Event()
         self.sent = False
+        self.reused = False
         self.answer_begun = False
         self.close_after_use = False
         self.idle_since_s = 0.0
@@ -253,6 +255,7 @@
         self._headers = []
         self._header_bytes = 0
         self._complete = False
+        self.reused = self._used
         self._used = True
         self._no_body = no_body
         self._accept_head = accept
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -175,6 +175,54 @@
         status, _, body = await self.send_request(gateway, request("/order/1", "POST", "r2"))
         self.assertEqual((status, body, runs), (200, b"mine", ["r2"]))
 
+    # Guards against an extra answer without an id being believed: a payment ran twice (review/1).
+    async def test_extra_refusal_without_an_id_is_not_taken_for_the_next_answer(self) -> None:
+        for follows in (True, False):
+            with self.subTest(true_answer_follows=follows):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self._send_after_extra_refusal(follows)
+
+    async def _send_after_extra_refusal(self, follows: bool) -> None:
+        """Checks what callers get if the second answer on a connection is an extra refusal."""
+        runs: list[str] = []
+
+        async def script(received: ReceivedRequest) -> bytes:
+            runs.append(received.headers["request-id"])
+            answer = build_answer(received, 200, b"mine")
+            if len(runs) == 1:
+                return answer
+            extra = build_answer(
+                received, 503, Request_Id="", Response_Signature="", Not_Executed="1"
+            )
+            received.writer.write(extra)
+            if not follows:
+                await asyncio.Event().wait()
+            return answer
+
+        for name in ("a", "b"):
+            await self.add_endpoint(name, script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for number, status in ((1, 200), (2, 200 if follows else 502)):
+            content = request("/order/1", "POST", f"r{number}")
+            answer = await self.send_request(gateway, content)
+            self.assertEqual(answer[0], status)
+        self.assertEqual(runs, ["r1", "r2"])
+
+    # Guards against taking the answers of an endpoint that names no ids for extra ones.
+    async def test_endpoint_that_never_names_ids_is_answered_for_at_once(self) -> None:
+        async def script(received: ReceivedRequest) -> bytes:
+            return build_answer(received, Request_Id="")
+
+        endpoint = await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for number in range(3):
+            status, _, _ = await self.send_request(gateway, request(identifier=f"r{number}"))
+            self.assertEqual(status, 200)
+        self.assertEqual(endpoint.accepted_connections, 3)
+
     async def test_pipelined_requests_are_answered_in_order(self) -> None:
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
