Own interface: no request follows a body that was not sent to its end

What callers would see: where an endpoint answers a long body before it has read it and keeps the connection, it reads the next caller's request as the rest of that body.

Cause: the connection was kept by its answer alone; the gateway closes it, the own interface's streaming has no such line.

Change: _stream_body returns whether the body was sent to its end; if not, the connection isn't used again.

Test: tests/daemon/test_requests.py; failed on the code before (one connection for two requests).

--- a/lycheepin/daemon/exchange.py
+++ b/lycheepin/daemon/exchange.py
@@ -131,8 +131,9 @@
             await connection.send_body(request.body)
     else:
         await connection.wait_for_continue(CONTINUE_TIMEOUT_S)
-        if not connection.head_done:
-            await _stream_body(connection, destination, request)
+        if not await _stream_body(connection, destination, request):
+            # The endpoint would read the next request as the rest of this body.
+            connection.close_after_use = True
     head = await connection.head()
     refusal = _parse_refusal(head)
     if refusal is None:
@@ -174,15 +175,17 @@
 
 async def _stream_body(
     connection: Connection, destination: Destination, request: CallerRequest
-) -> None:
-    """Forwards the caller's body as it arrives, until its end or until an answer arrives."""
+) -> bool:
+    """Forwards the caller's body as it arrives; returns False if it is answered before its end."""
     chunked = request.content_length is None
     loop = asyncio.get_running_loop()
     started_s = loop.time()
     sent_bytes = 0
+    if connection.head_done:
+        return False
     async for chunk in request.stream_body():
         if connection.head_done:
-            return
+            return False
         framed = b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk
         await connection.send_body(framed)
         sent_bytes += len(chunk)
@@ -192,6 +195,7 @@
     if chunked:
         await connection.send_body(b"0\r\n\r\n")
     request.watch_caller()
+    return True
 
 
 async def relay_answer(
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -139,13 +139,17 @@
             writer.close()
 
     async def send_request(
-        self, method: str = "GET", target: str = "/b/1", **extra_headers: str
+        self,
+        method: str = "GET",
+        target: str = "/b/1",
+        body: bytes = b"",
+        **extra_headers: str,
     ) -> Answer | FetchFailure:
         headers = [
             *SERVICE_HEADERS,
             *((name.replace("_", "-"), value) for name, value in extra_headers.items()),
         ]
-        return await fetch(HOST, HOST, self.port, method, target, headers, timeout_s=30.0)
+        return await fetch(HOST, HOST, self.port, method, target, headers, body, 30.0)
 
     def new_id(self, nonce: str, incarnation: int = 5) -> str:
         expires_ms = self.node.clock.wall_ms() + 30_000
@@ -169,6 +173,8 @@
     writer.close()
 
 
+# Longer than the bodies that are buffered, and than what the buffers of the sockets take.
+LONG_BODY = bytes(8 * 1024 * 1024)
 OK_ANSWER = build_reply(b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok")
 SHORT_ANSWER = build_reply(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort", close=True)
 NO_ANSWER = build_reply(b"", close=True)
@@ -252,6 +258,21 @@
         async with DaemonFixture([SHORT_ANSWER]) as fixture:
             self.assertIsInstance(await fixture.send_request(), FetchFailure)
 
+    # Guards against the next request being read as the rest of a body that was not sent.
+    async def test_connection_of_an_answer_before_the_end_of_the_body_is_not_used_again(
+        self,
+    ) -> None:
+        async with DaemonFixture([OK_ANSWER]) as fixture:
+            for number in range(2):
+                answer = await fixture.send_request(
+                    "POST",
+                    "/o/1",
+                    LONG_BODY,
+                    lycheepin_request_id=fixture.new_id(f"e{number}"),
+                )
+                self.assert_answer(answer, 200)
+            self.assertEqual((fixture.connections, len(fixture.requests)), (2, 2))
+
     async def test_surplus_bytes_are_not_read_as_the_next_answer(self) -> None:
         async with DaemonFixture([SURPLUS_BYTES, OK_ANSWER]) as fixture:
             for _ in range(3):
