Own interface: an answer without a length counts only if its endpoint didn't end with it

What callers would see: a 200 with the first part of a body as a whole success, after the endpoint broke off an answer that had neither a length nor chunks.

Cause: the end of the connection ends such an answer, whatever the reason. The gateway asks whether the endpoint still accepts connections; the own interface did not.

Change: the same question there; an endpoint that leaves as planned may end after a whole answer.

Tests: two in tests/daemon/test_requests.py; the first failed on the code before.

--- a/lycheepin/daemon/exchange.py
+++ b/lycheepin/daemon/exchange.py
@@ -40,13 +40,15 @@
 class Destination:
     """Address to which an attempt is sent, and the headers added to the request.
 
-    `rate_limit_mbit` limits the rate of the request body in Mbit/s; 0 means no limit.
+    `rate_limit_mbit` limits the rate of the request body in Mbit/s; 0 means no limit. `is_leaving`
+    is true for an endpoint that ends as planned.
     """
 
     address: Address
     port: int
     headers: tuple[tuple[bytes, bytes], ...]
     rate_limit_mbit: int = 0
+    is_leaving: bool = False
 
 
 @dataclass(frozen=True)
@@ -225,6 +227,7 @@
                 if request.caller_gone.is_set() and not keep_answer:
                     raise CallerGone
                 await request.send_body(chunk, more=True)
+            await _check_end(connection_pool, answer)
     except (BrokenAnswer, TimeoutError, CallerGone):
         answer.connection.close()
         return RelayResult(complete=False)
@@ -237,3 +240,15 @@
     if kept_chunks is not None:
         stored_answer = StoredAnswer(answer.head.status, tuple(headers), b"".join(kept_chunks))
     return RelayResult(True, stored_answer)
+
+
+async def _check_end(connection_pool: ConnectionPool, answer: AnswerStarted) -> None:
+    """Raises BrokenAnswer if an answer without a length ended because its endpoint did.
+
+    One that leaves as planned may end after a whole answer.
+    """
+    destination = answer.destination
+    if not answer.connection.ended_by_close or destination.is_leaving:
+        return
+    if await connection_pool.is_refused(destination.address, destination.port):
+        raise BrokenAnswer("the endpoint ended with an answer without a length")
--- a/lycheepin/daemon/requests.py
+++ b/lycheepin/daemon/requests.py
@@ -30,6 +30,7 @@
 )
 from lycheepin.errors import ErrorKind, Fault, Outcome
 from lycheepin.names import RegionName, RequestKey, ServiceName
+from lycheepin.sources.vms import VmState
 from lycheepin.steering.admission import AdmissionRefusal, Shift, Start, Wait
 from lycheepin.steering.endpoints import ExchangeResult
 from lycheepin.steering.request_ids import (
@@ -316,7 +317,13 @@
         headers = [(DEADLINE_HEADER, str(remaining_ms).encode())]
         if context.request_id is not None:
             headers.append((ID_HEADER, str(context.request_id).encode()))
-        destination = Destination(endpoint.address, endpoint.port, tuple(headers), start.link_mbit)
+        destination = Destination(
+            endpoint.address,
+            endpoint.port,
+            tuple(headers),
+            start.link_mbit,
+            is_leaving=endpoint.state is VmState.LEAVING,
+        )
         result, may_still_run = ExchangeResult.CANCELLED, True
         try:
             send_result = await self._send_request(context, destination)
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -82,7 +82,7 @@
     """A daemon and an endpoint with scripted replies, one for each connection, in this process."""
 
     def __init__(self, replies: list[ScriptedReply]) -> None:
-        self._replies = replies
+        self.replies = replies
         self.connections = 0
         self.requests: list[bytes] = []
 
@@ -125,9 +125,13 @@
         self._pool.close()
         self._endpoint.close()
 
+    def stop_endpoint(self) -> None:
+        """Refuses further connections to the endpoint."""
+        self._endpoint.close()
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers all requests of a connection with the reply scripted for it."""
-        reply = self._replies[min(self.connections, len(self._replies) - 1)]
+        reply = self.replies[min(self.connections, len(self.replies) - 1)]
         self.connections += 1
         try:
             while head := await reader.readuntil(b"\r\n\r\n"):
@@ -258,6 +262,26 @@
         async with DaemonFixture([SHORT_ANSWER]) as fixture:
             self.assertIsInstance(await fixture.send_request(), FetchFailure)
 
+    # Guards against an answer without a length that broke off reaching the caller as a whole one.
+    async def test_answer_without_length_of_an_endpoint_that_ended_is_an_error(self) -> None:
+        fixture = DaemonFixture([])
+
+        async def end(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            fixture.stop_endpoint()
+            writer.write(b"HTTP/1.1 200 OK\r\n\r\nfirst part")
+            writer.close()
+
+        fixture.replies.append(end)
+        async with fixture:
+            self.assertIsInstance(await fixture.send_request(), FetchFailure)
+
+    async def test_answer_without_length_of_an_endpoint_that_runs_is_whole(self) -> None:
+        async with DaemonFixture([build_reply(b"HTTP/1.1 200 OK\r\n\r\nall", True)]) as fixture:
+            answer = await fixture.send_request()
+            self.assert_answer(answer, 200)
+            assert isinstance(answer, Answer)
+            self.assertEqual(answer.body, b"all")
+
     # Guards against the next request being read as the rest of a body that was not sent.
     async def test_connection_of_an_answer_before_the_end_of_the_body_is_not_used_again(
         self,
