The right answer after an extra one has time to the request's deadline

What callers would see: a long answer that begins after an extra refusal is cut 1 s or a little more after that refusal and replaced by a 502, though it is on its way.

Change: a matcher of its own keeps the deadline and restores it; it doesn't touch a timer that has expired.

Test: tests/gateway/test_answers.py; failed on the code before.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -97,7 +97,10 @@
                 connection = await self._pool.acquire(record.address, record.port, max_rest_s)
                 started_s = loop.time()
                 watchdog = _ResponseWatchdog(self._registry, endpoint, timer, may_abandon)
-                outcome = await self._send_request(connection, request, body, endpoint, timer)
+                matcher = self._create_matcher(connection, request, endpoint, timer)
+                outcome = await self._send_request(
+                    connection, request, body, endpoint, deadline_s, matcher
+                )
             if isinstance(outcome, EndpointAnswer):
                 self._registry.observe_answer(endpoint, loop.time(), loop.time() - started_s)
         except (BrokenAnswer, OSError, TimeoutError) as error:
@@ -145,18 +148,16 @@
         request: IncomingRequest,
         body: RequestBody,
         endpoint: Endpoint,
-        timer: asyncio.Timeout,
+        deadline_s: float,
+        matcher: _AnswerMatcher,
     ) -> AttemptOutcome:
-        """Sends the request and returns the answer, or that the request did not run.
-
-        `timer` ends the attempt, at its deadline at first.
-        """
+        """Sends the request and returns the answer, or that the request did not run."""
         sent_s = asyncio.get_running_loop().time()
-        left_s = (timer.when() or sent_s) - sent_s
+        left_s = deadline_s - sent_s
         connection.send_request_head(
             self._build_head(request, body, endpoint, left_s) + body.content,
             no_body=request.method == b"HEAD",
-            accept=lambda head: self._accept_answer(head, request, connection, endpoint, timer),
+            accept=matcher.accept,
         )
         if isinstance(body, BodyStart):
             await _stream_body(connection, request)
@@ -178,6 +179,24 @@
             await self.check_end(endpoint, connection)
         return answer
 
+    def _create_matcher(
+        self,
+        connection: Connection,
+        request: IncomingRequest,
+        endpoint: Endpoint,
+        timer: asyncio.Timeout,
+    ) -> _AnswerMatcher:
+        """Returns what tells the answer to a request from others on its connection."""
+        id_name = self._header_names.request_id
+        limit_s = self._registry.unresponsive_limit_s(endpoint, asyncio.get_running_loop().time())
+
+        def log_skipped(head: AnswerHead) -> None:
+            self._log.write("answer_without_id", endpoint=endpoint.record.id, status=head.status)
+
+        return _AnswerMatcher(
+            connection, id_name, request.header(id_name), timer, limit_s, log_skipped
+        )
+
     async def check_end(self, endpoint: Endpoint, connection: Connection) -> None:
         """Raises BrokenAnswer if an answer without a length ended because its endpoint did.
 
@@ -189,32 +208,6 @@
         if await self._pool.is_refused(record.address, record.port):
             raise BrokenAnswer("the endpoint ended with an answer without a length")
 
-    def _accept_answer(
-        self,
-        head: AnswerHead,
-        request: IncomingRequest,
-        connection: Connection,
-        endpoint: Endpoint,
-        timer: asyncio.Timeout,
-    ) -> bool:
-        """Returns whether an answer belongs to a request.
-
-        One without an id does on a new connection; later it may be an extra answer to an earlier
-        request, whose endpoint names ids. The true one may follow it within the time for which an
-        endpoint may be silent; nothing is known of the request if none does.
-        """
-        identifier = request.header(self._header_names.request_id)
-        echoed = head.header(self._header_names.request_id)
-        if identifier is None or echoed == identifier:
-            return True
-        if echoed is not None or not connection.reused:
-            return echoed is None
-        now_s = asyncio.get_running_loop().time()
-        given_up_s = now_s + self._registry.unresponsive_limit_s(endpoint, now_s)
-        timer.reschedule(min(timer.when() or given_up_s, given_up_s))
-        self._log.write("answer_without_id", endpoint=endpoint.record.id, status=head.status)
-        return False
-
     def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> bool:
         """Records the load that an answer reports; returns whether all slots were in use.
 
@@ -283,6 +276,51 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
+class _AnswerMatcher:
+    """Tells the answer to a request from others that arrive on its connection.
+
+    An answer without an id is the right one on a new connection. Later it may be an extra answer to
+    an earlier request, whose endpoint names ids, and is skipped. The attempt then ends after
+    `limit_s` seconds, unless the right answer begins before; nothing is known of the request then.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        id_name: bytes,
+        identifier: bytes | None,
+        timer: asyncio.Timeout,
+        limit_s: float,
+        on_skipped: Callable[[AnswerHead], None],
+    ) -> None:
+        self._connection = connection
+        self._id_name = id_name
+        self._identifier = identifier
+        self._timer = timer
+        self._deadline_s = timer.when()
+        self._limit_s = limit_s
+        self._on_skipped = on_skipped
+        self._skipped = False
+
+    def accept(self, head: AnswerHead) -> bool:
+        """Returns whether an answer belongs to the request."""
+        echoed = head.header(self._id_name)
+        if echoed is None and self._identifier is not None and self._connection.reused:
+            self._skipped = True
+            self._on_skipped(head)
+            self._end_attempt_at(asyncio.get_running_loop().time() + self._limit_s)
+            return False
+        accepted = echoed is None or self._identifier is None or echoed == self._identifier
+        if accepted and self._skipped:
+            self._end_attempt_at(self._deadline_s)
+        return accepted
+
+    def _end_attempt_at(self, end_s: float | None) -> None:
+        """Ends the attempt at a time or at its deadline, unless it is ending already."""
+        if end_s is not None and self._deadline_s is not None and not self._timer.expired():
+            self._timer.reschedule(min(end_s, self._deadline_s))
+
+
 class _ResponseWatchdog:
     """Ends an attempt at an endpoint that has answered no request for a time limit."""
 
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -1,10 +1,15 @@
 """What callers get of the answers of endpoints: whole ones, and only their own."""
 
 import asyncio
+from unittest.mock import patch
 
+from lycheepin.steering import fleet
 from standins.servers import ReceivedRequest, build_answer
 from tests.gateway.deployment import DeploymentCase, read_answer, request
 
+# Time in seconds for which an endpoint may be silent in a test.
+LIMIT_S = 0.3
+
 
 class Answers(DeploymentCase):
     async def test_request_and_answer_are_forwarded_unchanged(self) -> None:
@@ -210,6 +215,34 @@
             self.assertEqual(answer[0], status)
         self.assertEqual(runs, ["r1", "r2"])
 
+    # Guards against cutting the right answer by the time that is granted after an extra one.
+    async def test_long_answer_after_an_extra_refusal_has_time_to_its_deadline(self) -> None:
+        body = bytes(3_000_000)
+        extra_sent = asyncio.Event()
+
+        async def script(received: ReceivedRequest) -> bytes:
+            if received.number == 0:
+                return build_answer(received)
+            received.writer.write(build_answer(received, 503, Request_Id="", Not_Executed="1"))
+            answer = build_answer(received, 200, body)
+            received.writer.write(answer[:1000])
+            extra_sent.set()
+            await asyncio.sleep(LIMIT_S * 3)
+            return answer[1000:]
+
+        await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        with (
+            patch.object(fleet, "MIN_UNRESPONSIVE_S", LIMIT_S),
+            patch.object(fleet, "UNRESPONSIVE_FACTOR", 0.0),
+        ):
+            await self.send_request(gateway, request("/order/1", "POST", "r1"))
+            content = request("/order/1", "POST", "r2")
+            status, _, received = await self.send_request(gateway, content)
+        self.assertTrue(extra_sent.is_set())
+        self.assertEqual((status, len(received)), (200, len(body)))
+
     # Guards against taking the answers of an endpoint that names no ids for extra ones.
     async def test_endpoint_that_never_names_ids_is_answered_for_at_once(self) -> None:
         async def script(received: ReceivedRequest) -> bytes:
