A request that offers to upgrade its connection is served without the upgrade

Cause: the parser reports an upgrade as an exception, and it was taken for a malformed request.

Change: a request without a body is served and the bytes after it go to a new parser. One with a body is refused as before: the parser ends it before its body, which would be read as the next request.

Tests: tests/gateway/test_listener_requests.py; the first failed on the code before.

--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -30,6 +30,9 @@
 # Interval in seconds of the checks for timed-out connections.
 TIMEOUT_CHECK_S = 0.25
 
+# Headers that announce a body.
+_BODY_HEADERS = {b"content-length", b"transfer-encoding"}
+
 Handler = Callable[["IncomingRequest"], Awaitable[None]]
 
 
@@ -85,12 +88,29 @@
         if self._receiving is None and self.head_since_s is None:
             self.head_since_s = self._loop.time()
         try:
-            self._progress_limit.feed(self._parser.feed_data, data)
-        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
+            self._progress_limit.feed(self._parse, data)
+        except httptools.HttpParserError:
             self.refuse_request(400)
         except EndlessElement:
             self.refuse_request(431)
 
+    def _parse(self, data: memoryview) -> None:
+        """Passes bytes to the parser; an offer to upgrade the connection is not taken up.
+
+        Raises HttpParserError for malformed bytes, for CONNECT, and for an offer in a request with
+        a body, since the parser ends such a request before its body.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                framing = self._parsing.headers_by_name.keys() & _BODY_HEADERS
+                if framing or self._parser.get_method() == b"CONNECT":
+                    raise httptools.HttpParserError("upgrade") from upgrade
+                self._parser = httptools.HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a request."""
         self._receiving = None
