Requests before an invalid one on a connection get their own answers

What callers would see: a request that runs is answered by the 408, 400 or 431 of the one that was pipelined after it, a promise that it hasn't run; its attempt is cancelled (seen by the review, by reading).

Cause: refusing the request that is being read cancelled the one that is being handled and took its place.

Change: if what is handled had arrived whole, the invalid request only ends the connection, after the answers to those before it. A request that is invalid itself, in its body, is refused as before.

--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/gateway/listener.py
@@ -54,6 +54,7 @@
         self._writable.set()
         self._paused = False
         self._closing = False
+        self._refused = False
         self._head_bytes = 0
         self._body_bytes = 0
         self.head_since_s: float | None = None
@@ -83,7 +84,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Called by asyncio; passes the bytes to the parser."""
-        if self._closing:
+        if self._closing or self._refused:
             return
         if self._receiving is None and self.head_since_s is None:
             self.head_since_s = self._loop.time()
@@ -107,6 +108,9 @@
             except httptools.HttpParserUpgrade as upgrade:
                 framing = self._parsing.headers_by_name.keys() & _BODY_HEADERS
                 if framing or self._parser.get_method() == b"CONNECT":
+                    self._parsing.body_complete = False
+                    if self._parsing in self._queue:
+                        self._queue.remove(self._parsing)
                     raise httptools.HttpParserError("upgrade") from upgrade
                 self._parser = httptools.HttpRequestParser(self)
                 data = data[upgrade.args[0] :]
@@ -199,6 +203,7 @@
         """Returns whether the connection is closed after the answer to a request."""
         return (
             self._closing
+            or (self._refused and not self._queue)
             or self._listener.closing
             or not request.keep_alive
             or not request.body_complete
@@ -220,12 +225,17 @@
     def refuse_request(self, status: int) -> None:
         """Answers an invalid request with an error status and closes the connection.
 
-        If an answer has already begun, the connection is aborted.
+        If an answer has already begun, the connection is aborted. Requests that arrived whole
+        before the invalid one are answered, and the connection is closed without an answer to it.
         """
-        if self._closing:
+        if self._closing or self._refused:
             return
-        self._closing = True
         self._listener.on_refused(status)
+        if self._current is not None and self._current.body_complete:
+            self._refused = True
+            self.head_since_s = None
+            return
+        self._closing = True
         if self._task is not None:
             self._task.cancel()
         if self._current is not None and self._current.answered:
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -4,11 +4,52 @@
 
 import asyncio
 
+from lycheepin.steering.routes import CallerLimits
+from standins.servers import ReceivedRequest, build_answer
 from tests.gateway.deployment import DeploymentCase, read_answer, request
 
 H2C = {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c", "HTTP2_Settings": "AAMAAABk"}
 
 
+class PipelinedRequests(DeploymentCase):
+    # Guards against a request that runs being answered by the refusal of the next one.
+    async def test_requests_before_an_invalid_one_get_their_own_answers(self) -> None:
+        head = b"GET /read/1 HTTP/1.1\r\nHost: a.example\r\n"
+        long_head = head + b"X: " + b"y" * 99_999
+        for invalid, refused in ((b"nonsense\r\n\r\n", 400), (head, 408), (long_head, 431)):
+            with self.subTest(refused):
+                await self.asyncTearDown()
+                await self.asyncSetUp()
+                await self._send_before(invalid, refused)
+
+    async def _send_before(self, invalid: bytes, refused: int) -> None:
+        """Sends two requests and an invalid one, whose refusal comes before their answers."""
+        may_answer = asyncio.Event()
+
+        async def script(received: ReceivedRequest) -> bytes:
+            await may_answer.wait()
+            return build_answer(received)
+
+        endpoint = await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        gateway._caller_listener.limits = CallerLimits(header_timeout_s=0.1)
+        statuses: list[int] = []
+        gateway._caller_listener.on_refused = statuses.append
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        writer.write(request(identifier="r0") + request(identifier="r1"))
+        await self.wait_until(lambda: endpoint.received_requests)
+        writer.write(invalid)
+        await self.wait_until(lambda: statuses)
+        may_answer.set()
+        for identifier in ("r0", "r1"):
+            status, headers, _ = await read_answer(reader)
+            self.assertEqual((status, headers["request-id"]), (200, identifier))
+        self.assertEqual((statuses, await reader.read()), ([refused], b""))
+        writer.close()
+
+
 class OffersToUpgrade(DeploymentCase):
     # Guards against clients that offer HTTP/2 by default being refused with 400.
     async def test_request_that_offers_an_upgrade_is_served_without_it(self) -> None:
