The retry budget forgets requests before its window also without retries

What operators would see: memory that grows with each request of a service whose requests are never repeated, 8 bytes and more each (seen by the review, by reading).

Cause: the times of requests were dropped only when a retry was asked for.

Change: they are dropped when one is added.

Test: tests/steering/test_budgets.py; 5,000 were kept before, of which the window has 100.

--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -176,6 +176,7 @@
 
     def count_request(self, now_s: float) -> None:
         """Counts a caller's request for the service."""
+        self._expire(now_s)
         self._requests.append(now_s)
 
     def can_spend(self, now_s: float, slack_fraction: float) -> bool:
--- a/tests/steering/test_budgets.py
+++ b/tests/steering/test_budgets.py
@@ -25,6 +25,13 @@
         self.assertLessEqual(spent, 0.2 * 1100 + 62)
         self.assertGreater(spent, 0.5 * (0.2 * 1100 + 62))
 
+    # Guards against memory that grows with each request of a service without retries.
+    def test_requests_before_the_window_are_forgotten(self) -> None:
+        budget = RetryBudgetShare(BudgetLimits(window_s=10.0))
+        for number in range(5000):
+            budget.count_request(number * 0.1)
+        self.assertLessEqual(len(budget._requests), 101)
+
     def test_retries_before_the_window_do_not_count(self) -> None:
         budget = RetryBudgetShare(BudgetLimits(retry_ratio=0.0, retry_slack=2.5, window_s=10.0))
         self.assertTrue(budget.try_spend(0.0, 1.0))
