Entries that were unreadable for their zone are read again when the settings gain it

What callers would see: endpoints in a zone that is added to the settings get no requests until something in their entries changes (seen by the review, by reading).

Cause: an entry is decoded when it changes, with the zones known then.

Change: when the zones change, the endpoints' entries of the replica are decoded again.

Test: tests/platform/test_reload.py; failed on the code before.

--- a/lycheepin/gateway/mirror.py
+++ b/lycheepin/gateway/mirror.py
@@ -34,6 +34,11 @@
         self.position: Position | None = None
         self._confirmed_at_s: float | None = None
 
+    @property
+    def items(self) -> tuple[Item, ...]:
+        """All items."""
+        return tuple(self._items.values())
+
     def confirm_current(self, now_s: float, age_s: float = 0.0) -> None:
         """Records that the replica matched the store `age_s` seconds ago."""
         confirmed_at_s = now_s - age_s
@@ -81,7 +86,7 @@
         if self.position is None:
             return None
         if after < self._complete_after:
-            return Listing(tuple(self._items.values()), self.position)
+            return Listing(self.items, self.position)
         if after.era > self.position.era:
             return Changes((), self.position)
         changed: dict[str, Position] = {}
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -91,7 +91,7 @@
         gateway.apply_settings(settings)
         if self._store is not None and self._reader is not None:
             self._store.address = settings.store
-            self._reader.zones = settings.zones
+            self._reader.change_zones(settings.zones, gateway.replica.items)
 
     async def _watch_settings(self, gateway: Gateway) -> None:
         """Reloads the settings when the file's modification time changes; runs until cancelled."""
--- a/lycheepin/platform/reader.py
+++ b/lycheepin/platform/reader.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 from lycheepin.gateway.deployment_state import DeploymentState
 from lycheepin.gateway.own_entries import SUSPICION_PREFIX
@@ -27,11 +27,21 @@
 
     def __init__(self, state: DeploymentState, zones: Mapping[ZoneName, RegionName]) -> None:
         self._state = state
-        self.zones = zones
+        self._zones = zones
+
+    def change_zones(self, zones: Mapping[ZoneName, RegionName], items: Iterable[Item]) -> None:
+        """Replaces the zones; reads the endpoints among the items again, as theirs may be new."""
+        if zones == self._zones:
+            return
+        self._zones = zones
+        for item in items:
+            entry_key = parse_key(item.key)
+            if entry_key is not None and entry_key.kind is EndpointEntry:
+                self.apply_entry(item)
 
     def apply_entry(self, item: Item) -> None:
         """Applies a new or changed entry."""
-        match decode_entry(item.key, item.value, self.zones):
+        match decode_entry(item.key, item.value, self._zones):
             case ConfigurationEntry(table=table):
                 self._state.apply_configuration(table)
             case EvacuationEntry(zone=zone):
