Leases live at least as long as the store's settings require

What callers would see: on a platform whose shortest lease is above 4 s no daemon registers, and directories name none (seen by the review, by reading: `ttlMinMs` wasn't read).

Change: the setting is read, and no shorter lease is asked for.

Test: tests/platform/test_metadata.py, on a stand-in that grants no shorter lease.

--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -52,7 +52,7 @@
         """Returns the tasks that follow the store, keep this daemon's entry and watch settings."""
         settings = gateway.settings
         http_client = HttpClient(settings.host)
-        store = self._store = MetadataStore(http_client, settings.store)
+        store = self._store = MetadataStore(http_client, settings.store, settings.min_lease_s)
         reader = self._reader = PlatformReader(gateway.state, settings.zones)
         synchronizer = StoreSynchronizer(store, reader, http_client, gateway.replica, gateway)
         record = gateway.record
--- a/lycheepin/platform/metadata.py
+++ b/lycheepin/platform/metadata.py
@@ -56,9 +56,12 @@
     Answers of an earlier era than the latest one that was seen count as failures.
     """
 
-    def __init__(self, http_client: HttpClient, address: SocketAddress) -> None:
+    def __init__(
+        self, http_client: HttpClient, address: SocketAddress, min_lease_s: float = 0.0
+    ) -> None:
         self._http_client = http_client
         self.address = address
+        self._min_lease_s = min_lease_s
         self.calls = 0
         self._era = 0
 
@@ -115,8 +118,9 @@
             return HistoryLost()
 
     async def grant_lease(self, ttl_s: float) -> Lease | StoreFailure:
-        """Returns a new lease."""
-        answer = await self._call("POST", "/api/kv-lease", {"ttlMs": int(ttl_s * MS_PER_S)})
+        """Returns a new lease; it lives longer than `ttl_s` if the store grants no shorter one."""
+        ttl_ms = int(max(ttl_s, self._min_lease_s) * MS_PER_S)
+        answer = await self._call("POST", "/api/kv-lease", {"ttlMs": ttl_ms})
         if isinstance(answer, StoreFailure):
             return answer
         try:
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -95,6 +95,7 @@
                 cold_slack=bounds.get("coldSlack", 0.0),
             ),
             bootstrap=document.get("bootstrap") is True,
+            min_lease_s=float(document["platform"].get("ttlMinMs", 0)) / MS_PER_S,
             heartbeat_s=float(document.get("heartbeatIntervalMs", 1500)) / MS_PER_S,
             link_mbps=float(limits.get("linkMbps", 0.0)),
             # `cpuShare` is a share of one core, and that core is `cores` times as fast
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -47,6 +47,7 @@
         lose_answers: Calls are carried out, then their connection is closed without an answer.
         execution_delay_s: Time between the arrival of a call and its execution.
         write_delay_s: Additional time before a write; the connection of its call is closed at once.
+        min_ttl_ms: Shortest time to live of a lease that is granted.
         override_status: Returns the status with which a call to a target is rejected, None to
             serve the call.
 
@@ -62,6 +63,7 @@
         self.lose_answers = False
         self.execution_delay_s = 0.0
         self.write_delay_s = 0.0
+        self.min_ttl_ms = 0
         self.override_status: Callable[[str], int | None] = lambda target: None
         self._history: deque[dict[str, Any]] = deque()
         self._history_after = 0
@@ -217,7 +219,8 @@
                     fields.get("prefix", ""), int(fields["after"]), int(fields["waitMs"])
                 )
             case "POST", ["kv-lease"]:
-                return 200, self._grant_lease(json.loads(body)["ttlMs"])
+                ttl_ms = json.loads(body)["ttlMs"]
+                return (200, self._grant_lease(ttl_ms)) if ttl_ms >= self.min_ttl_ms else (400, {})
             case "POST", ["kv-keep", number]:
                 return self._renew_lease(int(number))
             case "DELETE", ["kv-lease-end", number]:
--- a/tests/platform/test_metadata.py
+++ b/tests/platform/test_metadata.py
@@ -61,6 +61,15 @@
         self.assertIsInstance(await self.store.put({"k/own": b""}, lease), LeaseEnded)
         self.assertIsNone(await self.store.end_lease(lease))
 
+    # Guards against a daemon that never registers where leases have to live longer than its own.
+    async def test_lease_lives_as_long_as_the_store_requires(self) -> None:
+        self.stand_in.min_ttl_ms = 10_000
+        self.assertIsInstance(await self.store.grant_lease(4.0), StoreFailure)
+        store = MetadataStore(self.http_client, self.store.address, min_lease_s=10.0)
+        lease = await store.grant_lease(4.0)
+        assert isinstance(lease, Lease)
+        self.assertEqual(lease.ttl_s, 10.0)
+
     async def test_error_statuses_and_lost_answers_are_failures(self) -> None:
         for status in (503, 429, 500):
             self.stand_in.override_status = lambda target, status=status: status
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -21,6 +21,7 @@
 directory = "10.0.0.1:8143"
 [platform]
 address = "10.200.1.7:8142"
+ttlMinMs = 1500
 """
 
 
@@ -37,6 +38,7 @@
         self.assertEqual(str(settings.front), "10.0.0.1:8144")  # type: ignore[attr-defined]
         self.assertEqual(settings.terms.retry_slack, 62.0)  # type: ignore[attr-defined]
         self.assertEqual(len(settings.seeds), 1)  # type: ignore[attr-defined]
+        self.assertEqual(settings.min_lease_s, 1.5)  # type: ignore[attr-defined]
 
     def test_bounds_may_be_one_string_separated_by_commas(self) -> None:
         start = SETTINGS.index("bounds")
