--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -48,8 +48,8 @@
     down. Changes of the configuration, drains and evacuations have to be in force within
     `apply_limit_s`. `link_mbps` is the bandwidth of the VM's link in Mbit/s and `processors` the
     number of cores that the process may use; 0 if unknown. `bootstrap` is true when all daemons
-    start for the first time. Endpoints write to their entries every `heartbeat_s`, and leases of the
-    store live for `min_lease_s` at least.
+    start for the first time. Endpoints write to their entries every `heartbeat_s`, and leases of
+    the store live for `min_lease_s` at least.
     """
 
     name: DaemonName
