--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -5,7 +5,7 @@
 import re
 from dataclasses import dataclass
 
-from lycheepin.decoding import MAX_PORT
+from lycheepin.decoding import MAX_PORT, require_ipv4
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
 from lycheepin.steering.store_contact import DEFAULT_HEARTBEAT_S
@@ -33,6 +33,13 @@
             raise ValueError(f"not a port from 1 to {MAX_PORT}: {port}")
         return cls(Address(host), port)
 
+    @classmethod
+    def parse_ipv4(cls, text: str) -> SocketAddress:
+        """Returns the address written as `host:port`; raises ValueError unless it is IPv4."""
+        address = cls.parse(text)
+        require_ipv4(address.host)
+        return address
+
     def __str__(self) -> str:
         """Returns `host:port`."""
         return f"{self.host}:{self.port}"
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -21,7 +21,6 @@
     SlotCount,
     Text,
     create_decoder,
-    require_ipv4,
 )
 from lycheepin.errors import DECODE_ERRORS
 from lycheepin.gateway.dialect import HeaderNames
@@ -33,7 +32,7 @@
     decode_suspicion,
 )
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.names import Address, EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.names import EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.routes import (
     CallerLimits,
@@ -258,12 +257,12 @@
     if not _ENDPOINT_NAME.fullmatch(name):
         raise ValueError(f"not a name: {name!r}")
     fields = _decode_endpoint_fields(value)
-    address = SocketAddress.parse(fields.address)
+    address = SocketAddress.parse_ipv4(fields.address)
     zone = ZoneName(fields.zone)
     return EndpointRecord(
         id=EndpointId(name),
         service=ServiceName(fields.service),
-        address=Address(require_ipv4(address.host)),
+        address=address.host,
         port=address.port,
         zone=zone,
         region=zones[zone],
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -187,6 +187,20 @@
             self.assertEqual(len(list(gateway.registry.all())), 3)
         self.assertTrue(third.received_requests)
 
+    # Guards against a daemon's entry with an address that ends each daemon that polls it.
+    async def test_daemon_with_an_address_that_cannot_be_connected_to_is_left_out(self) -> None:
+        endpoint = await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until(lambda: gateway.directory.names)
+        peer = {"incarnation": 1, "zone": "north-1", "region": "north", "link_mbps": 1e9}
+        for number, address in enumerate(ODD_ADDRESSES):
+            for name, other in (("front", "control"), ("control", "front")):
+                entry = peer | {name: address, other: "127.0.0.1:1"}
+                self.store.put(f"lycheepin/daemons/{name}-{number}", entry)
+        self.store.put("servers/b", endpoint.build_entry("north-1"))
+        await self.wait_until(lambda: gateway.registry.get(EndpointId("b")))
+        self.assertEqual(gateway.directory.names, ("daemon-1",))
+
     # Guards against a key that no process can encode ending each one that reads it.
     async def test_key_with_an_unpaired_surrogate_is_left_out(self) -> None:
         endpoint = await self.add_endpoint("a")
