--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -17,6 +17,7 @@
     "MAX_REASON",
     "Count",
     "Milliseconds",
+    "OptionalText",
     "Port",
     "Quantity",
     "SlotCount",
@@ -44,6 +45,7 @@
 
 Count = Annotated[int, Meta(ge=0, le=MAX_INT)]
 Text = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT)]
+OptionalText = Annotated[str, Meta(max_length=MAX_TEXT)]
 Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
 SlotCount = Annotated[int, Meta(ge=1, le=MAX_SLOTS)]
 Milliseconds = Annotated[float, Meta(ge=0, le=MAX_DURATION_MS)]
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -18,6 +18,7 @@
     MAX_REASON,
     Count,
     Milliseconds,
+    OptionalText,
     SlotCount,
     Text,
     create_decoder,
@@ -92,7 +93,7 @@
     service: Text
     address: Text
     zone: Text
-    version: Text
+    version: OptionalText
     slots: SlotCount
     state: _EndpointState
     cold_remaining_ms: Milliseconds
