Own interface: the deadline in a request is what is left when it is sent

What callers would see: an endpoint that works on after its caller's deadline. It was handed the time left before its connection was opened, which may take a second.

Cause: the header was built with the destination, before the connection; the gateway builds it when it sends.

Change: the head of an attempt is given its deadline; both builders of destinations lose their copy.

Test: tests/daemon/test_requests.py; failed on the code before (1,499 ms of 1,500 after 0.5 s).

--- a/lycheepin/daemon/exchange.py
+++ b/lycheepin/daemon/exchange.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lycheepin.daemon.caller_request import CallerGone, CallerRequest
+from lycheepin.daemon.request_parser import DEADLINE_HEADER
 from lycheepin.errors import ErrorKind, Fault, Outcome
 from lycheepin.names import Address
 from lycheepin.steering.request_ids import MAX_ANSWER_BYTES, StoredAnswer
@@ -33,6 +34,7 @@
 OUTCOME_HEADER = b"lycheepin-outcome"
 ERROR_HEADER = b"lycheepin-error"
 BITS_PER_BYTE = 8
+MS_PER_S = 1000
 BITS_PER_MBIT = 1_000_000
 
 
@@ -105,7 +107,7 @@
         return NotRun(Fault(ErrorKind.ENDPOINT_UNREACHABLE, type(error).__name__))
     try:
         async with asyncio.timeout_at(deadline_s):
-            return await _send_and_await_head(connection, destination, request)
+            return await _send_and_await_head(connection, destination, request, deadline_s)
     except BrokenAnswer as error:
         connection.close()
         if not connection.sent:
@@ -122,12 +124,12 @@
 
 
 async def _send_and_await_head(
-    connection: Connection, destination: Destination, request: CallerRequest
+    connection: Connection, destination: Destination, request: CallerRequest, deadline_s: float
 ) -> SendResult:
     """Sends head and body, then returns the answer's head or the refusal in it."""
-    connection.send_request_head(
-        _build_request_head(destination, request), no_body=request.method == "HEAD"
-    )
+    left_s = deadline_s - asyncio.get_running_loop().time()
+    head = _build_request_head(destination, request, left_s)
+    connection.send_request_head(head, no_body=request.method == "HEAD")
     if request.body is not None:
         if request.body:
             await connection.send_body(request.body)
@@ -136,10 +138,10 @@
         if not await _stream_body(connection, destination, request):
             # The endpoint would read the next request as the rest of this body.
             connection.close_after_use = True
-    head = await connection.head()
-    refusal = _parse_refusal(head)
+    answer = await connection.head()
+    refusal = _parse_refusal(answer)
     if refusal is None:
-        return AnswerStarted(destination, connection, head)
+        return AnswerStarted(destination, connection, answer)
     connection.close()
     return refusal
 
@@ -156,13 +158,14 @@
     return None
 
 
-def _build_request_head(destination: Destination, request: CallerRequest) -> bytes:
-    """Returns the request head to send to a destination."""
+def _build_request_head(destination: Destination, request: CallerRequest, left_s: float) -> bytes:
+    """Returns the request head to send to a destination, `left_s` seconds before its deadline."""
     parts = [request.method.encode() + b" " + request.target + b" HTTP/1.1"]
     for name, value in strip_hop_by_hop(request.headers):
         if name != b"content-length" and not name.startswith(b"lycheepin-"):
             parts.append(name + b": " + value)
     parts += [name + b": " + value for name, value in destination.headers]
+    parts.append(DEADLINE_HEADER + b": %d" % max(1, int(left_s * MS_PER_S)))
     if request.body is not None:
         if request.body or request.method not in ("GET", "HEAD", "DELETE", "OPTIONS"):
             parts.append(b"content-length: " + str(len(request.body)).encode())
--- a/lycheepin/daemon/forwarding.py
+++ b/lycheepin/daemon/forwarding.py
@@ -9,7 +9,6 @@
 from lycheepin.daemon.exchange import Destination
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.request_parser import (
-    DEADLINE_HEADER,
     FLEET_HEADER,
     HOP_HEADER,
     HOP_HOLDER,
@@ -24,8 +23,6 @@
 
 __all__ = ["Forwarder"]
 
-MS_PER_S = 1000
-
 
 class Forwarder:
     """Chooses daemons to forward requests to."""
@@ -67,13 +64,11 @@
     def build_destination(self, context: RequestContext, member: Member, hop: str) -> Destination:
         """Returns the address of another daemon with the headers for a forwarded request."""
         node = self._node
-        remaining_ms = int((context.ticket.deadline_s - node.clock.monotonic()) * MS_PER_S)
         headers = [
             (PEER_HEADER, peer_token(node.peer_key, member.address).encode()),
             (HOP_HEADER, hop.encode()),
             (FLEET_HEADER, context.name.fleet.encode()),
             (SERVICE_HEADER, context.name.name.encode()),
-            (DEADLINE_HEADER, str(max(1, remaining_ms)).encode()),
         ]
         origin = context.ticket.origin or (node.region if hop == HOP_SHIFT else None)
         if origin is not None:
--- a/lycheepin/daemon/requests.py
+++ b/lycheepin/daemon/requests.py
@@ -20,7 +20,6 @@
 from lycheepin.daemon.forwarding import Forwarder
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.request_parser import (
-    DEADLINE_HEADER,
     HOP_HOLDER,
     HOP_OWNER,
     HOP_SHIFT,
@@ -48,7 +47,6 @@
 
 MAX_ATTEMPTS = 3
 CANCEL_GRACE_S = 1.0
-MS_PER_S = 1000
 SHIFT_BACKOFF_S = 0.2
 
 
@@ -313,8 +311,7 @@
         endpoint = node.endpoints[start.endpoint]
         context.active_request.endpoint = start.endpoint
         started_s = node.clock.monotonic()
-        remaining_ms = max(1, int((context.ticket.deadline_s - started_s) * MS_PER_S))
-        headers = [(DEADLINE_HEADER, str(remaining_ms).encode())]
+        headers: list[tuple[bytes, bytes]] = []
         if context.request_id is not None:
             headers.append((ID_HEADER, str(context.request_id).encode()))
         destination = Destination(
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -262,6 +263,21 @@
         async with DaemonFixture([SHORT_ANSWER]) as fixture:
             self.assertIsInstance(await fixture.send_request(), FetchFailure)
 
+    # Guards against an endpoint being handed the time that opening its connection has used up.
+    async def test_deadline_of_an_attempt_counts_from_its_sending(self) -> None:
+        acquire = ConnectionPool.acquire
+
+        async def acquire_late(pool: ConnectionPool, *target: object) -> object:
+            await asyncio.sleep(0.5)
+            return await acquire(pool, *target)  # type: ignore[arg-type]
+
+        with mock.patch.object(ConnectionPool, "acquire", acquire_late):
+            async with DaemonFixture([OK_ANSWER]) as fixture:
+                self.assert_answer(await fixture.send_request("GET", "/t/1"), 200)
+        deadlines = re.findall(rb"lycheepin-deadline-ms: (\d+)", fixture.requests[0])
+        self.assertEqual(len(deadlines), 1)
+        self.assertLessEqual(int(deadlines[0]), 1000)
+
     # Guards against an answer without a length that broke off reaching the caller as a whole one.
     async def test_answer_without_length_of_an_endpoint_that_ended_is_an_error(self) -> None:
         fixture = DaemonFixture([])
