--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -14,6 +14,8 @@
 from msgspec import Meta, MsgspecError, json
 
 __all__ = [
+    "MAX_INT",
+    "MAX_PORT",
     "MAX_REASON",
     "Count",
     "Milliseconds",
