--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -9,9 +9,11 @@
 
 from lycheepin.decoding import parse_count
 from lycheepin.errors import ErrorKind
+from lycheepin.gateway.answer_matcher import AnswerMatcher
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.incoming import BodyStart, IncomingRequest, RequestBody, WholeBody
+from lycheepin.gateway.response_watchdog import ResponseWatchdog
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.idle_connections import IdleConnectionLimits
@@ -32,8 +34,6 @@
 IDLE_TIMEOUT_FRACTION = 0.7
 # Idle time in seconds for which a connection is reused if the endpoint announces no timeout.
 DEFAULT_IDLE_LIMIT_S = 4.0
-# Shortest interval in seconds between checks whether an attempt may be abandoned.
-CHECK_INTERVAL_S = 0.1
 MS_PER_S = 1000
 _BODILESS_METHODS = (b"GET", b"HEAD", b"DELETE", b"OPTIONS")
 # A limit on requests per second: digits, with a fraction or without.
@@ -90,13 +90,13 @@
         connection: Connection | None = None
         started_s = loop.time()
         outcome: AttemptOutcome | None = None
-        watchdog: _ResponseWatchdog | None = None
+        watchdog: ResponseWatchdog | None = None
         try:
             async with asyncio.timeout_at(deadline_s) as timer:
                 max_rest_s = self._idle_limits.max_rest_s(record.service, loop.time())
                 connection = await self._pool.acquire(record.address, record.port, max_rest_s)
                 started_s = loop.time()
-                watchdog = _ResponseWatchdog(self._registry, endpoint, timer, may_abandon)
+                watchdog = ResponseWatchdog(self._registry, endpoint, timer, may_abandon)
                 matcher = self._create_matcher(connection, request, endpoint, timer)
                 outcome = await self._send_request(
                     connection, request, body, endpoint, deadline_s, matcher
@@ -149,7 +149,7 @@
         body: RequestBody,
         endpoint: Endpoint,
         deadline_s: float,
-        matcher: _AnswerMatcher,
+        matcher: AnswerMatcher,
     ) -> AttemptOutcome:
         """Sends the request and returns the answer, or that the request did not run."""
         sent_s = asyncio.get_running_loop().time()
@@ -185,7 +185,7 @@
         request: IncomingRequest,
         endpoint: Endpoint,
         timer: asyncio.Timeout,
-    ) -> _AnswerMatcher:
+    ) -> AnswerMatcher:
         """Returns what tells the answer to a request from others on its connection."""
         id_name = self._header_names.request_id
         limit_s = self._registry.unresponsive_limit_s(endpoint, asyncio.get_running_loop().time())
@@ -193,7 +193,7 @@
         def log_skipped(head: AnswerHead) -> None:
             self._log.write("answer_without_id", endpoint=endpoint.record.id, status=head.status)
 
-        return _AnswerMatcher(
+        return AnswerMatcher(
             connection, id_name, request.header(id_name), timer, limit_s, log_skipped
         )
 
@@ -276,87 +276,6 @@
         return b"\r\n".join(lines) + b"\r\n\r\n"
 
 
-class _AnswerMatcher:
-    """Tells the answer to a request from others that arrive on its connection.
-
-    An answer without an id is the right one on a new connection. Later it may be an extra answer to
-    an earlier request, whose endpoint names ids, and is skipped. The attempt then ends after
-    `limit_s` seconds, unless the right answer begins before; nothing is known of the request then.
-    """
-
-    def __init__(
-        self,
-        connection: Connection,
-        id_name: bytes,
-        identifier: bytes | None,
-        timer: asyncio.Timeout,
-        limit_s: float,
-        on_skipped: Callable[[AnswerHead], None],
-    ) -> None:
-        self._connection = connection
-        self._id_name = id_name
-        self._identifier = identifier
-        self._timer = timer
-        self._deadline_s = timer.when()
-        self._limit_s = limit_s
-        self._on_skipped = on_skipped
-        self._skipped = False
-
-    def accept(self, head: AnswerHead) -> bool:
-        """Returns whether an answer belongs to the request."""
-        echoed = head.header(self._id_name)
-        if echoed is None and self._identifier is not None and self._connection.reused:
-            self._skipped = True
-            self._on_skipped(head)
-            self._end_attempt_at(asyncio.get_running_loop().time() + self._limit_s)
-            return False
-        accepted = echoed is None or self._identifier is None or echoed == self._identifier
-        if accepted and self._skipped:
-            self._end_attempt_at(self._deadline_s)
-        return accepted
-
-    def _end_attempt_at(self, end_s: float | None) -> None:
-        """Ends the attempt at a time or at its deadline, unless it is ending already."""
-        if end_s is not None and self._deadline_s is not None and not self._timer.expired():
-            self._timer.reschedule(min(end_s, self._deadline_s))
-
-
-class _ResponseWatchdog:
-    """Ends an attempt at an endpoint that has answered no request for a time limit."""
-
-    def __init__(
-        self,
-        registry: EndpointRegistry,
-        endpoint: Endpoint,
-        timer: asyncio.Timeout,
-        may_abandon: Callable[[], bool],
-    ) -> None:
-        self._endpoint = endpoint
-        self._may_abandon = may_abandon
-        self._timer = timer
-        self._loop = asyncio.get_running_loop()
-        self._limit_s = registry.unresponsive_limit_s(endpoint, self._loop.time())
-        self._started_s = self._loop.time()
-        self._handle = self._loop.call_later(self._limit_s, self._check_endpoint)
-
-    def cancel(self) -> None:
-        """Stops the watchdog."""
-        self._handle.cancel()
-
-    def _check_endpoint(self) -> None:
-        """Ends the attempt if it may be abandoned, else schedules the next check.
-
-        The endpoint must have been unresponsive for the limit during this attempt.
-        """
-        now_s = self._loop.time()
-        waited_s = min(now_s - self._started_s, self._endpoint.unresponsive_s(now_s))
-        if waited_s >= self._limit_s and self._may_abandon():
-            self._timer.reschedule(now_s)
-        else:
-            left_s = max(CHECK_INTERVAL_S, self._limit_s - waited_s)
-            self._handle = self._loop.call_later(left_s, self._check_endpoint)
-
-
 def _is_streaming(outcome: AttemptOutcome | None) -> bool:
     """Returns whether the body of an answer is still being read from its connection."""
     return isinstance(outcome, EndpointAnswer) and outcome.connection is not None
