One check of an answer that ends with its connection, one limit of silence for an attempt

Behaviour stays as it is. The gateway and the own interface each had the check whether an endpoint ended with an answer without a length; it is ConnectionPool.check_end now, and each says which endpoints leave as planned. The time for which an endpoint may be silent was computed twice for each attempt; the matcher takes the watchdog's. The default of the heartbeat interval stood in two places.

--- a/lycheepin/daemon/exchange.py
+++ b/lycheepin/daemon/exchange.py
@@ -43,7 +43,7 @@
     """Address to which an attempt is sent, and the headers added to the request.
 
     `rate_limit_mbit` limits the rate of the request body in Mbit/s; 0 means no limit. `is_leaving`
-    is true for an endpoint that ends as planned.
+    is true for an endpoint that ends as planned, and may do so after a whole answer.
     """
 
     address: Address
@@ -218,6 +218,7 @@
     headers = strip_hop_by_hop(answer.head.headers)
     kept_chunks: list[bytes] | None = [] if keep_answer else None
     received_bytes = 0
+    destination = answer.destination
     try:
         async with asyncio.timeout_at(deadline_s):
             await request.start_answer(answer.head.status, headers)
@@ -230,7 +231,10 @@
                 if request.caller_gone.is_set() and not keep_answer:
                     raise CallerGone
                 await request.send_body(chunk, more=True)
-            await _check_end(connection_pool, answer)
+            if not destination.is_leaving:
+                await connection_pool.check_end(
+                    destination.address, destination.port, answer.connection
+                )
     except (BrokenAnswer, TimeoutError, CallerGone):
         answer.connection.close()
         return RelayResult(complete=False)
@@ -238,20 +242,8 @@
         answer.connection.close()
         raise
     await request.send_body(b"", more=False)
-    connection_pool.release(answer.destination.address, answer.destination.port, answer.connection)
+    connection_pool.release(destination.address, destination.port, answer.connection)
     stored_answer = None
     if kept_chunks is not None:
         stored_answer = StoredAnswer(answer.head.status, tuple(headers), b"".join(kept_chunks))
     return RelayResult(True, stored_answer)
-
-
-async def _check_end(connection_pool: ConnectionPool, answer: AnswerStarted) -> None:
-    """Raises BrokenAnswer if an answer without a length ended because its endpoint did.
-
-    One that leaves as planned may end after a whole answer.
-    """
-    destination = answer.destination
-    if not answer.connection.ended_by_close or destination.is_leaving:
-        return
-    if await connection_pool.is_refused(destination.address, destination.port):
-        raise BrokenAnswer("the endpoint ended with an answer without a length")
--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -97,7 +97,9 @@
                 connection = await self._pool.acquire(record.address, record.port, max_rest_s)
                 started_s = loop.time()
                 watchdog = ResponseWatchdog(self._registry, endpoint, timer, may_abandon)
-                matcher = self._create_matcher(connection, request, endpoint, timer)
+                matcher = self._create_matcher(
+                    connection, request, endpoint, timer, watchdog.limit_s
+                )
                 outcome = await self._send_request(
                     connection, request, body, endpoint, deadline_s, matcher
                 )
@@ -185,10 +187,13 @@
         request: IncomingRequest,
         endpoint: Endpoint,
         timer: asyncio.Timeout,
+        limit_s: float,
     ) -> AnswerMatcher:
-        """Returns what tells the answer to a request from others on its connection."""
+        """Returns what tells the answer to a request from others on its connection.
+
+        `limit_s` is the time in seconds for which the endpoint may be silent.
+        """
         id_name = self._header_names.request_id
-        limit_s = self._registry.unresponsive_limit_s(endpoint, asyncio.get_running_loop().time())
 
         def log_skipped(head: AnswerHead) -> None:
             self._log.write("answer_without_id", endpoint=endpoint.record.id, status=head.status)
@@ -203,10 +208,8 @@
         One that leaves as planned may end after a whole answer.
         """
         record = endpoint.record
-        if not connection.ended_by_close or record.draining or endpoint.removed:
-            return
-        if await self._pool.is_refused(record.address, record.port):
-            raise BrokenAnswer("the endpoint ended with an answer without a length")
+        if not record.draining and not endpoint.removed:
+            await self._pool.check_end(record.address, record.port, connection)
 
     def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> bool:
         """Records the load that an answer reports; returns whether all slots were in use.
@@ -215,15 +218,12 @@
         """
         value = head.header(self._header_names.load)
         parts = value.split(b",") if value is not None else []
-        counts = [parse_count(part.strip()) for part in parts]
-        match counts:
+        match [parse_count(part.strip()) for part in parts]:
             case [int(running), int(waiting), int(slots)]:
-                pass
-            case _:
-                return True
-        now_s = asyncio.get_running_loop().time()
-        endpoint.observe_load(now_s, running, waiting)
-        return running + waiting >= slots
+                now_s = asyncio.get_running_loop().time()
+                endpoint.observe_load(now_s, running, waiting)
+                return running + waiting >= slots
+        return True
 
     def _observe_rate_limit(self, endpoint: Endpoint, head: AnswerHead, sent_s: float) -> None:
         """Records the limit that an answer names, or that it names none, and logs a change.
--- a/lycheepin/gateway/response_watchdog.py
+++ b/lycheepin/gateway/response_watchdog.py
@@ -15,7 +15,7 @@
 
 
 class ResponseWatchdog:
-    """Ends an attempt at an endpoint that has answered no request for a time limit."""
+    """Ends an attempt at an endpoint that has answered no request for `limit_s` seconds."""
 
     def __init__(
         self,
@@ -28,9 +28,9 @@
         self._may_abandon = may_abandon
         self._timer = timer
         self._loop = asyncio.get_running_loop()
-        self._limit_s = registry.unresponsive_limit_s(endpoint, self._loop.time())
+        self.limit_s = registry.unresponsive_limit_s(endpoint, self._loop.time())
         self._started_s = self._loop.time()
-        self._handle = self._loop.call_later(self._limit_s, self._check_endpoint)
+        self._handle = self._loop.call_later(self.limit_s, self._check_endpoint)
 
     def cancel(self) -> None:
         """Stops the watchdog."""
@@ -43,8 +43,8 @@
         """
         now_s = self._loop.time()
         waited_s = min(now_s - self._started_s, self._endpoint.unresponsive_s(now_s))
-        if waited_s >= self._limit_s and self._may_abandon():
+        if waited_s >= self.limit_s and self._may_abandon():
             self._timer.reschedule(now_s)
         else:
-            left_s = max(CHECK_INTERVAL_S, self._limit_s - waited_s)
+            left_s = max(CHECK_INTERVAL_S, self.limit_s - waited_s)
             self._handle = self._loop.call_later(left_s, self._check_endpoint)
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -10,6 +10,7 @@
 from lycheepin.gateway.settings import GatewaySettings, SocketAddress
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
+from lycheepin.steering.store_contact import DEFAULT_HEARTBEAT_S
 
 __all__ = ["SettingsError", "decode_settings", "load_settings"]
 
@@ -96,7 +97,8 @@
             ),
             bootstrap=document.get("bootstrap") is True,
             min_lease_s=float(document["platform"].get("ttlMinMs", 0)) / MS_PER_S,
-            heartbeat_s=float(document.get("heartbeatIntervalMs", 1500)) / MS_PER_S,
+            heartbeat_s=float(document.get("heartbeatIntervalMs", DEFAULT_HEARTBEAT_S * MS_PER_S))
+            / MS_PER_S,
             link_mbps=float(limits.get("linkMbps", 0.0)),
             # `cpuShare` is a share of one core, and that core is `cores` times as fast
             processors=float(limits.get("cpuShare", 0.0)) * float(limits.get("cores", 1)),
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -376,6 +376,11 @@
         self.release(address, port, connection)
         return False
 
+    async def check_end(self, address: Address, port: int, connection: Connection) -> None:
+        """Raises BrokenAnswer if an answer without a length ended because its endpoint did."""
+        if connection.ended_by_close and await self.is_refused(address, port):
+            raise BrokenAnswer("the endpoint ended with an answer without a length")
+
     def release(self, address: Address, port: int, connection: Connection) -> None:
         """Keeps a connection for later requests if it can be reused, and closes it otherwise."""
         idle = self._idle.setdefault((address, port), deque())
