--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -50,6 +50,11 @@
         self.store.close()
         self.handler.pop_application()
 
+    async def start_anew(self) -> None:
+        """Replaces the deployment by an empty one, for the next part of a test."""
+        await self.asyncTearDown()
+        await self.asyncSetUp()
+
     async def add_endpoint(
         self, name: str, script: Script = answer_ok, **entry: Any
     ) -> EndpointStandIn:
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -184,8 +184,7 @@
     async def test_extra_refusal_without_an_id_is_not_taken_for_the_next_answer(self) -> None:
         for follows in (True, False):
             with self.subTest(true_answer_follows=follows):
-                await self.asyncTearDown()
-                await self.asyncSetUp()
+                await self.start_anew()
                 await self._send_after_extra_refusal(follows)
 
     async def _send_after_extra_refusal(self, follows: bool) -> None:
--- a/tests/gateway/test_high_revisions.py
+++ b/tests/gateway/test_high_revisions.py
@@ -16,8 +16,7 @@
     async def test_reader_and_follower_serve_and_follow_changes(self) -> None:
         for first in (2**40 - 3, UNIX_MS, MAX_INT - 1000):
             with self.subTest(first):
-                await self.asyncTearDown()
-                await self.asyncSetUp()
+                await self.start_anew()
                 self.store.revision = first
                 self.store.put("op/config", configuration())
                 for number in range(8):  # more than one page of a listing
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -14,38 +14,25 @@
     WholeBody,
 )
 from lycheepin.gateway.process import Gateway
+from tests.gateway.connections import UnusedConnection
 from tests.gateway.deployment import DeploymentCase
 
 LIMIT = MAX_BUFFERED_BODY_BYTES
 SIZES = (0, 1, LIMIT - 1, LIMIT, LIMIT + 1, LIMIT + 2, LIMIT + 70_000, 3 * LIMIT)
 
 
-class CallerConnection:
-    """The connection of a caller, which keeps what is written to it."""
-
-    caller_host = "127.0.0.1"
-
-    def __init__(self) -> None:
-        self.written = b""
+class CallerConnection(UnusedConnection):
+    """A connection of a caller that takes its answer."""
 
     def write(self, data: bytes) -> None:
-        self.written += data
-
-    async def drain(self) -> None:
         return
 
-    def resume_reading(self, buffered: int) -> None:
+    async def drain(self) -> None:
         return
 
-    def closes_after(self, request: IncomingRequest) -> bool:
-        return False
-
     def end_answer(self, request: IncomingRequest) -> None:
         return
 
-    def abort(self) -> None:
-        return
-
 
 def split(body: bytes, numbers: random.Random) -> Iterator[bytes]:
     """Yields a body in pieces: whole, at the limit, with the last byte alone, or at random."""
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -18,8 +18,7 @@
         long_head = head + b"X: " + b"y" * 99_999
         for invalid, refused in ((b"nonsense\r\n\r\n", 400), (head, 408), (long_head, 431)):
             with self.subTest(refused):
-                await self.asyncTearDown()
-                await self.asyncSetUp()
+                await self.start_anew()
                 await self._send_before(invalid, refused)
 
     async def _send_before(self, invalid: bytes, refused: int) -> None:
--- a/tests/gateway/test_odd_headers.py
+++ b/tests/gateway/test_odd_headers.py
@@ -29,8 +29,7 @@
             lines = ("HTTP/1.1 200 OK", "Response-Signature: s", "Content-Length: 2", headers)
             return "\r\n".join(lines).encode() + b"\r\n\r\nok"
 
-        await self.asyncTearDown()
-        await self.asyncSetUp()
+        await self.start_anew()
         await self.add_endpoint("a", answer)
         gateway = await self.add_gateway()
         await self.wait_until_ready(gateway)
