--- /dev/null
+++ b/lycheepin/gateway/caller_connection.py
@@ -0,0 +1,315 @@
+"""A connection of a caller: its requests, parsed by httptools, and the answers in their order.
+
+Each request is handled in its own task; if the caller disconnects, the task is cancelled, together
+with the attempt that it waits for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import httptools
+
+from lycheepin.gateway.incoming import REASONS, IncomingRequest
+from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
+
+__all__ = ["ELEMENT_MARGIN_BYTES", "CallerConnection", "Handler", "Server"]
+
+# Buffered bytes of a request body above which reading from the connection pauses.
+BODY_HIGH_WATER_BYTES = 256 * 1024
+# Number of pipelined requests on one connection above which reading pauses.
+MAX_PIPELINED = 4
+# Limit on an element of a request that has not ended, beyond the limit on its whole head: the size
+# and extension of a chunk, and the parser's reading in slices.
+ELEMENT_MARGIN_BYTES = 16 * 1024
+
+# Headers that announce a body.
+_BODY_HEADERS = {b"content-length", b"transfer-encoding"}
+
+Handler = Callable[[IncomingRequest], Awaitable[None]]
+
+
+class Server(Protocol):
+    """What a connection needs of the server that accepted it."""
+
+    handler: Handler
+    connections: set[CallerConnection]
+    limits: CallerLimits
+    in_flight: int
+    closing: bool
+    on_refused: Callable[[int], None]
+    on_error: Callable[[Exception], None]
+
+
+class CallerConnection(asyncio.Protocol):
+    """A connection of a caller; its requests are handled one at a time, in order."""
+
+    def __init__(self, server: Server) -> None:
+        self._server = server
+        self._loop = asyncio.get_running_loop()
+        self._transport: asyncio.Transport | None = None
+        self._parser = httptools.HttpRequestParser(self)
+        self._progress_limit = ProgressLimit(ELEMENT_MARGIN_BYTES)
+        self._parsing = IncomingRequest(self, self._loop.time())
+        self._receiving: IncomingRequest | None = None
+        self._queue: deque[IncomingRequest] = deque()
+        self._current: IncomingRequest | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._paused = False
+        self._closing = False
+        self._refused = False
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self.head_since_s: float | None = None
+        self.idle_since_s = self._loop.time()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by asyncio; adds the connection to its server."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        self._server.connections.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by asyncio; cancels the request that is being handled."""
+        self._server.connections.discard(self)
+        self._queue.clear()
+        self._writable.set()
+        if self._task is not None:
+            self._task.cancel()
+
+    def pause_writing(self) -> None:
+        """Called by asyncio when the write buffer is full."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Called by asyncio when the write buffer has been emptied."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Called by asyncio; passes the bytes to the parser."""
+        if self._closing or self._refused:
+            return
+        if self._receiving is None and self.head_since_s is None:
+            self.head_since_s = self._loop.time()
+        try:
+            self._progress_limit.feed(self._parse, data)
+        except httptools.HttpParserError:
+            self.refuse_request(400)
+        except EndlessElement:
+            self.refuse_request(431)
+
+    def _parse(self, data: memoryview) -> None:
+        """Passes bytes to the parser; an offer to upgrade the connection is not taken up.
+
+        Raises HttpParserError for malformed bytes, for CONNECT, and for an offer in a request with
+        a body, since the parser ends such a request before its body.
+        """
+        while data:
+            try:
+                self._parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as upgrade:
+                framing = self._parsing.headers_by_name.keys() & _BODY_HEADERS
+                if framing or self._parser.get_method() == b"CONNECT":
+                    self._parsing.body_complete = False
+                    if self._parsing in self._queue:
+                        self._queue.remove(self._parsing)
+                    raise httptools.HttpParserError("upgrade") from upgrade
+                self._parser = httptools.HttpRequestParser(self)
+                data = data[upgrade.args[0] :]
+
+    def on_message_begin(self) -> None:
+        """Called by the parser at the start of a request."""
+        self._receiving = None
+        self._parsing = IncomingRequest(self, self._loop.time())
+        limits = self._server.limits
+        self._progress_limit.limit_bytes = limits.max_header_bytes + ELEMENT_MARGIN_BYTES
+
+    def on_url(self, url: bytes) -> None:
+        """Called by the parser; a long target may arrive in several parts."""
+        self._count_head_bytes(len(url))
+        self._parsing.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Called by the parser for each header."""
+        self._progress_limit.record_progress()
+        self._count_head_bytes(len(name) + len(value))
+        self._parsing.headers.append((name, value))
+        self._parsing.headers_by_name[name.lower()] = value
+
+    def _count_head_bytes(self, size: int) -> None:
+        """Adds to the size of the head; refuses the request if it is too large."""
+        self._head_bytes += size
+        if self._head_bytes > self._server.limits.max_header_bytes:
+            self.refuse_request(431)
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser; queues the request, whose body may still be arriving."""
+        self._progress_limit.record_progress()
+        if self._closing:
+            return
+        request = self._parsing
+        request.method = self._parser.get_method()
+        request.keep_alive = self._parser.should_keep_alive()
+        self._receiving = request
+        self._body_bytes = 0
+        self._head_bytes = 0
+        self.head_since_s = None
+        if request.header(b"expect") is not None:
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._queue.append(request)
+        if len(self._queue) > MAX_PIPELINED:
+            self._pause_reading()
+        self._start_next()
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser; buffers a part of the body, or refuses one that is too large."""
+        self._progress_limit.record_progress()
+        if self._receiving is None:
+            return
+        self._body_bytes += len(body)
+        if self._body_bytes > self._server.limits.max_body_bytes:
+            self.refuse_request(413)
+            return
+        if self._receiving.feed_body(body) > BODY_HIGH_WATER_BYTES:
+            self._pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Called by the parser at the end of a request."""
+        if self._receiving is not None:
+            self._receiving.end_body()
+        self._receiving = None
+
+    def resume_reading(self, buffered: int) -> None:
+        """Resumes reading if it is paused and only a few bytes are buffered."""
+        if (
+            self._paused
+            and buffered < BODY_HIGH_WATER_BYTES // 2
+            and len(self._queue) <= MAX_PIPELINED
+        ):
+            self._paused = False
+            if self._transport is not None and not self._transport.is_closing():
+                self._transport.resume_reading()
+
+    def write(self, data: bytes) -> None:
+        """Writes bytes to the transport; ignored if it is closing."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+    async def drain(self) -> None:
+        """Waits while the write buffer is full; raises ConnectionError if the caller has left."""
+        await self._writable.wait()
+        if self._transport is None or self._transport.is_closing():
+            raise ConnectionError("the caller has left")
+
+    def closes_after(self, request: IncomingRequest) -> bool:
+        """Returns whether the connection is closed after the answer to a request."""
+        return (
+            self._closing
+            or (self._refused and not self._queue)
+            or self._server.closing
+            or not request.keep_alive
+            or not request.body_complete
+        )
+
+    def end_answer(self, request: IncomingRequest) -> None:
+        """Ends an answer; closes the connection unless it is kept alive."""
+        if self.closes_after(request):
+            self._closing = True
+            self._queue.clear()
+            if self._transport is not None:
+                self._transport.close()
+
+    def abort(self) -> None:
+        """Closes the connection immediately, discarding unsent data."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def refuse_request(self, status: int) -> None:
+        """Answers an invalid request with an error status and closes the connection.
+
+        If an answer has already begun, the connection is aborted. Requests that arrived whole
+        before the invalid one are answered, and the connection is closed without an answer to it.
+        """
+        if self._closing or self._refused:
+            return
+        self._server.on_refused(status)
+        if self._current is not None and self._current.body_complete:
+            self._refused = True
+            self.head_since_s = None
+            return
+        self._closing = True
+        if self._task is not None:
+            self._task.cancel()
+        if self._current is not None and self._current.answered:
+            self.abort()
+            return
+        reason = REASONS[status]
+        self.write(
+            b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, reason)
+        )
+        if self._transport is not None:
+            self._transport.close()
+
+    @property
+    def caller_host(self) -> str:
+        """The network address of the caller, without its port."""
+        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
+        return str(peer[0]) if peer else ""
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is being read, queued or handled."""
+        return self._current is None and not self._queue and self.head_since_s is None
+
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Whether a part of an answer waits for the caller to read."""
+        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if it is idle."""
+        if self.is_idle and self._transport is not None:
+            self._transport.close()
+
+    def _pause_reading(self) -> None:
+        """Pauses reading from the connection."""
+        if self._transport is not None and not self._paused:
+            self._paused = True
+            self._transport.pause_reading()
+
+    def _start_next(self) -> None:
+        """Starts to handle the next queued request, unless one is being handled."""
+        if self._current is None and self._queue:
+            self._current = self._queue.popleft()
+            self._task = self._loop.create_task(self._handle_request(self._current))
+
+    async def _handle_request(self, request: IncomingRequest) -> None:
+        """Runs the handler for a request, then starts the next request."""
+        self._server.in_flight += 1
+        try:
+            await self._server.handler(request)
+        except asyncio.CancelledError:
+            if not self._closing:
+                self.abort()
+            return
+        except ConnectionError:
+            self.abort()
+            return
+        except Exception as error:  # an error in one request must not stop the daemon
+            self._server.on_error(error)
+            self.abort()
+            return
+        finally:
+            self._server.in_flight -= 1
+        self._current = None
+        self._task = None
+        self.idle_since_s = self._loop.time()
+        self.resume_reading(0)
+        self._start_next()
