Trailers of a request are not taken for its headers

What callers saw: a chunked request whose trailers name a header again was routed, numbered and passed on by the trailer: with trailers 'Host' and 'Request-Id' it was answered 404 under another request's id.

Cause: the parser reports trailers like headers, and they were appended to the request's headers; those that arrived before the request was sent on replaced its own.

Ruled out: the forwarded body (whole), the way back (headers of an answer are taken when its head ends).

Change: what is reported after the end of the head is counted against the limit on heads and ignored.

Test: tests/gateway/test_listener_requests.py, test_trailers_change_no_header; failed on the code before ((404, 'r9') instead of (200, 'r1')). Trailers without end are in the table of endless elements.

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -127,6 +127,7 @@
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a request."""
         self._receiving = None
+        self._head_bytes = 0
         self._parsing = IncomingRequest(self, self._loop.time())
         limits = self._server.limits
         self._progress_limit.limit_bytes = limits.max_header_bytes + ELEMENT_MARGIN_BYTES
@@ -137,9 +138,11 @@
         self._parsing.target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser for each header."""
+        """Called by the parser for each header, and for each trailer, which is ignored."""
         self._progress_limit.record_progress()
         self._count_head_bytes(len(name) + len(value))
+        if self._receiving is not None:
+            return
         self._parsing.headers.append((name, value))
         self._parsing.headers_by_name[name.lower()] = value
 
--- a/tests/gateway/test_listener.py
+++ b/tests/gateway/test_listener.py
@@ -21,6 +21,7 @@
     "chunk size": (CHUNKED, b"0" * 64),
     "chunk extension": (CHUNKED + b"5;", b"a" * 64),
     "trailer": (CHUNKED + b"0\r\nX-A: ", b"a" * 64),
+    "trailers": (CHUNKED + b"0\r\n", b"X-A: 1\r\n" * 8),
     "empty lines": (b"", b"\r\n" * 32),
 }
 PIECE_BYTES = 64 * 1024
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -90,3 +90,19 @@
         content = request("a.example:443", "CONNECT", "r1")
         status, _, _ = await self.send_request(gateway, content)
         self.assertEqual(status, 400)
+
+    # Guards against a trailer being taken for a header of the request.
+    async def test_trailers_change_no_header(self) -> None:
+        endpoint = await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        head = request("/order/1", "PUT", "r1").replace(
+            b"\r\n\r\n", b"\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        trailers = b"Request-Id: r9\r\nHost: b.example\r\nX-Sum: 7\r\n"
+        content = head + b"3\r\nabc\r\n0\r\n" + trailers + b"\r\n"
+        status, headers, _ = await self.send_request(gateway, content)
+        self.assertEqual((status, headers["request-id"]), (200, "r1"))
+        received = endpoint.received_requests[0].headers
+        self.assertEqual((received["request-id"], received["host"]), ("r1", "a.example"))
+        self.assertNotIn("x-sum", received)
