The header timeout runs from the first byte of a head

What callers saw: a connection that rested after an empty line behind its request was refused with 408 after the header timeout; a head that began in the segment of another request was kept for the idle timeout.

Cause: the time of a head began with each segment while nothing was being received, not with a head.

Change: it begins when the parser reports the start of a message, which passes over empty lines.

Tests: two in tests/gateway/test_listener_requests.py; both failed on the code before (408 for an empty line; no 408 for a head behind another request).

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -95,8 +95,6 @@
         """Called by asyncio; passes the bytes to the parser."""
         if self._closing or self._refused:
             return
-        if self._receiving is None and self.head_since_s is None:
-            self.head_since_s = self._loop.time()
         try:
             self._progress_limit.feed(self._parse, data)
         except httptools.HttpParserError:
@@ -128,7 +126,8 @@
         """Called by the parser at the start of a request."""
         self._receiving = None
         self._head_bytes = 0
-        self._parsing = IncomingRequest(self, self._loop.time())
+        self.head_since_s = self._loop.time()
+        self._parsing = IncomingRequest(self, self.head_since_s)
         limits = self._server.limits
         self._progress_limit.limit_bytes = limits.max_header_bytes + ELEMENT_MARGIN_BYTES
 
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -4,9 +4,10 @@
 
 import asyncio
 
+from lycheepin.gateway.listener import TIMEOUT_CHECK_S
 from lycheepin.steering.routes import CallerLimits
 from standins.servers import ReceivedRequest, build_answer
-from tests.gateway.deployment import DeploymentCase, read_answer, request
+from tests.gateway.deployment import TIMEOUT_S, DeploymentCase, read_answer, request
 
 H2C = {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c", "HTTP2_Settings": "AAMAAABk"}
 
@@ -48,6 +49,39 @@
         self.assertEqual((statuses, await reader.read()), ([refused], b""))
         writer.close()
 
+    # Guards against a head that never ends being kept for the idle timeout.
+    async def test_head_in_the_segment_of_another_request_has_the_header_timeout(self) -> None:
+        await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        gateway._caller_listener.limits = CallerLimits(header_timeout_s=0.1, idle_timeout_s=999.0)
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        writer.write(request(identifier="r0") + b"GET /read/1 HTTP/1.1\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual((await read_answer(reader))[0], 200)
+            self.assertEqual((await read_answer(reader))[0], 408)
+        writer.close()
+
+    # Guards against a connection that rests after an empty line being refused with 408.
+    async def test_empty_line_after_a_request_begins_no_head(self) -> None:
+        await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        statuses: list[int] = []
+        gateway._caller_listener.on_refused = statuses.append
+        gateway._caller_listener.limits = CallerLimits(header_timeout_s=0.1)
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        writer.write(request(identifier="r0"))
+        self.assertEqual((await read_answer(reader))[0], 200)
+        writer.write(b"\r\n")
+        await asyncio.sleep(3 * TIMEOUT_CHECK_S)
+        self.assertEqual(statuses, [])
+        writer.write(request(identifier="r1"))
+        self.assertEqual((await read_answer(reader))[0], 200)
+        writer.close()
+
 
 class OffersToUpgrade(DeploymentCase):
     # Guards against clients that offer HTTP/2 by default being refused with 400.
