A caller is asked for its body after the answers to its earlier requests

What callers saw: '100 Continue' for a pipelined request came before, or in the middle of, the answer to the one before it.

Cause: it was written when the head arrived, not when the request's turn came.

Change: it is written when the request is handled, unless its body has arrived by then.

Test: test_body_is_asked_for_after_the_answers_to_earlier_requests; failed on the code before (the interim answer was read as the first request's).

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -163,8 +163,6 @@
         self._body_bytes = 0
         self._head_bytes = 0
         self.head_since_s = None
-        if request.header(b"expect") is not None:
-            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._queue.append(request)
         if len(self._queue) > MAX_PIPELINED:
             self._pause_reading()
@@ -287,9 +285,14 @@
             self._transport.pause_reading()
 
     def _start_next(self) -> None:
-        """Starts to handle the next queued request, unless one is being handled."""
+        """Starts to handle the next queued request, unless one is being handled.
+
+        A caller that waits to be asked for the body is asked now, after the answers before.
+        """
         if self._current is None and self._queue:
             self._current = self._queue.popleft()
+            if self._current.header(b"expect") is not None and not self._current.body_complete:
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             self._task = self._loop.create_task(self._handle_request(self._current))
 
     async def _handle_request(self, request: IncomingRequest) -> None:
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -82,6 +82,31 @@
         self.assertEqual((await read_answer(reader))[0], 200)
         writer.close()
 
+    # Guards against an interim answer between the parts of the answer to the request before.
+    async def test_body_is_asked_for_after_the_answers_to_earlier_requests(self) -> None:
+        may_answer = asyncio.Event()
+
+        async def script(received: ReceivedRequest) -> bytes:
+            await may_answer.wait()
+            return build_answer(received)
+
+        endpoint = await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        order = request("/order/1", "POST", "r1", b"order", Expect="100-continue")
+        writer.write(request(identifier="r0") + order[:-5])
+        await self.wait_until(lambda: endpoint.received_requests)
+        may_answer.set()
+        status, headers, _ = await read_answer(reader)
+        self.assertEqual((status, headers["request-id"]), (200, "r0"))
+        self.assertEqual(await reader.readuntil(b"\r\n\r\n"), b"HTTP/1.1 100 Continue\r\n\r\n")
+        writer.write(order[-5:])
+        status, headers, _ = await read_answer(reader)
+        self.assertEqual((status, headers["request-id"]), (200, "r1"))
+        writer.close()
+
 
 class OffersToUpgrade(DeploymentCase):
     # Guards against clients that offer HTTP/2 by default being refused with 400.
