A pipelined request that is refused in its body is not waited for

What callers saw: after a request whose body was refused (too large, malformed), a connection that had another request running stayed open until the deadline of the refused one, whose bytes were no longer read.

Cause: the refused request stayed in the queue, and was handled as if the rest of its body could come.

Change: it leaves the queue; the connection ends with the answer before it.

Test: test_connection_ends_when_the_body_of_the_next_request_is_too_large; failed on the code before.

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -243,6 +243,8 @@
         if self._current is not None and self._current.body_complete:
             self._refused = True
             self.head_since_s = None
+            if self._receiving is not None and self._receiving in self._queue:
+                self._queue.remove(self._receiving)
             return
         self._closing = True
         if self._task is not None:
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -107,6 +107,28 @@
         self.assertEqual((status, headers["request-id"]), (200, "r1"))
         writer.close()
 
+    # Guards against a request that was refused in its body being waited for to its deadline.
+    async def test_connection_ends_when_the_body_of_the_next_request_is_too_large(self) -> None:
+        may_answer = asyncio.Event()
+
+        async def script(received: ReceivedRequest) -> bytes:
+            await may_answer.wait()
+            return build_answer(received)
+
+        endpoint = await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        gateway._caller_listener.limits = CallerLimits(max_body_bytes=10)
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        writer.write(request(identifier="r0") + request("/order/1", "POST", "r1", b"x" * 20)[:-5])
+        await self.wait_until(lambda: endpoint.received_requests)
+        may_answer.set()
+        status, headers, _ = await read_answer(reader)
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        self.assertEqual(await reader.read(), b"")
+        writer.close()
+
 
 class OffersToUpgrade(DeploymentCase):
     # Guards against clients that offer HTTP/2 by default being refused with 400.
