A request with a body that offers an upgrade is served without it

Cause: the parser ends a request that offers an upgrade before its body; what follows would have been read as the next request, so such requests were refused.

Change: a new parser is given the head again without the offer, and then the body. CONNECT stays refused.

Test: the test that such a request is refused is replaced by a stricter one: four requests, of which three offer an upgrade (with a length, with an empty body, in chunks), arrive whole, in one segment and in single bytes. It failed on the code before (400).

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -64,6 +64,7 @@
         self._paused = False
         self._closing = False
         self._refused = False
+        self._repeats_head = False
         self._head_bytes = 0
         self._body_bytes = 0
         self.head_since_s: float | None = None
@@ -105,25 +106,41 @@
     def _parse(self, data: memoryview) -> None:
         """Passes bytes to the parser; an offer to upgrade the connection is not taken up.
 
-        Raises HttpParserError for malformed bytes, for CONNECT, and for an offer in a request with
-        a body, since the parser ends such a request before its body.
+        Raises HttpParserError for malformed bytes and for CONNECT.
         """
         while data:
             try:
                 self._parser.feed_data(data)
                 return
             except httptools.HttpParserUpgrade as upgrade:
-                framing = self._parsing.headers_by_name.keys() & _BODY_HEADERS
-                if framing or self._parser.get_method() == b"CONNECT":
+                if self._parser.get_method() == b"CONNECT":
                     self._parsing.body_complete = False
                     if self._parsing in self._queue:
                         self._queue.remove(self._parsing)
-                    raise httptools.HttpParserError("upgrade") from upgrade
+                    raise httptools.HttpParserError("CONNECT") from upgrade
                 self._parser = httptools.HttpRequestParser(self)
                 data = data[upgrade.args[0] :]
+                if self._parsing.headers_by_name.keys() & _BODY_HEADERS:
+                    self._expect_body(self._parsing)
+
+    def _expect_body(self, request: IncomingRequest) -> None:
+        """Lets the parser read the body of a request that offered an upgrade.
+
+        The parser ends such a request before its body, so it is given the head without the offer.
+        """
+        request.body_complete = False
+        self._receiving = request
+        head = [request.method + b" " + request.target + b" HTTP/1.1"]
+        head += [n + b": " + value for n, value in request.headers if n.lower() != b"upgrade"]
+        self._repeats_head = True
+        self._parser.feed_data(b"\r\n".join(head) + b"\r\n\r\n")
+        self._repeats_head = False
+        self._head_bytes = 0
 
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a request."""
+        if self._repeats_head:
+            return
         self._receiving = None
         self._head_bytes = 0
         self.head_since_s = self._loop.time()
@@ -133,6 +150,8 @@
 
     def on_url(self, url: bytes) -> None:
         """Called by the parser; a long target may arrive in several parts."""
+        if self._repeats_head:
+            return
         self._count_head_bytes(len(url))
         self._parsing.target += url
 
@@ -154,7 +173,7 @@
     def on_headers_complete(self) -> None:
         """Called by the parser; queues the request, whose body may still be arriving."""
         self._progress_limit.record_progress()
-        if self._closing:
+        if self._closing or self._repeats_head:
             return
         request = self._parsing
         request.method = self._parser.get_method()
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -153,16 +153,35 @@
         self.assertFalse(any("upgrade" in r.headers for r in endpoint.received_requests))
 
     # Guards against the body of such a request being read as the next request.
-    async def test_offer_to_upgrade_with_a_body_is_refused(self) -> None:
+    async def test_offer_to_upgrade_with_a_body_is_served_with_its_body(self) -> None:
         endpoint = await self.add_endpoint("a")
         gateway = await self.add_gateway()
         await self.wait_until_ready(gateway)
-        hidden = request("/order/2", "POST", "r2")
-        for headers in (H2C, H2C | {"Content_Length": "0"}):
-            content = request("/order/1", "POST", "r1", hidden, **headers)
-            status, _, _ = await self.send_request(gateway, content)
-            self.assertEqual(status, 400)
-        self.assertEqual(endpoint.received_requests, [])
+        hidden = request("/order/2", "POST", "r9")
+        chunked = b"POST /order/3 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: r3\r\n"
+        chunked += b"Connection: Upgrade\r\nUpgrade: h2c\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunked += b"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n"
+        offers = [
+            (request("/order/1", "POST", "r1", hidden, **H2C), hidden),
+            (request("/order/2", "POST", "r2", **H2C), b""),
+            (chunked, b"abc"),
+            (request("/order/4", "POST", "r4", b"last"), b"last"),
+        ]
+        together = b"".join(content for content, _ in offers)
+        for sizes in (len(together), 1):
+            endpoint.received_requests.clear()
+            front = gateway.settings.front
+            reader, writer = await asyncio.open_connection(front.host, front.port)
+            for start in range(0, len(together), sizes):
+                writer.write(together[start : start + sizes])
+                await asyncio.sleep(0)
+            for number in range(1, 5):
+                status, headers, _ = await read_answer(reader)
+                self.assertEqual((status, headers["request-id"]), (200, f"r{number}"))
+            writer.close()
+            received = [(r.headers["request-id"], r.body) for r in endpoint.received_requests]
+            expected = [(f"r{number}", offer[1]) for number, offer in enumerate(offers, 1)]
+            self.assertEqual(received, expected)
 
     async def test_connect_is_refused(self) -> None:
         await self.add_endpoint("a")
