The answer to HEAD names the length that its endpoint names

What callers saw: 'Content-Length: 0' in the answer to each HEAD, whatever the endpoint said of the resource.

Cause: the length of an answer was that of the body that had arrived.

Change: the endpoint's header is passed on with the answer to HEAD, and no other length is added.

Test: tests/gateway/test_answers_without_body.py; failed on the code before ('0' instead of '300'). Beside it, a check that answers with status 204 or 304 and a length leave the connection's next answers whole: passed before.

--- a/lycheepin/gateway/incoming.py
+++ b/lycheepin/gateway/incoming.py
@@ -150,13 +150,16 @@
         self._connection.end_answer(self)
 
     def start_answer(self, status: int, headers: Headers, length: int | None) -> None:
-        """Sends the head of an answer; if `length` is None, the body is sent in chunks."""
+        """Sends the head of an answer; if `length` is None, the body is sent in chunks.
+
+        The answer to HEAD has no body, and its headers may name the length of the one for GET.
+        """
         self.answered = True
         lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))]
         lines += [name + b": " + value for name, value in headers]
         if length is None:
             lines.append(b"Transfer-Encoding: chunked")
-        elif status not in _NO_BODY_STATUSES:
+        elif self.method != b"HEAD" and status not in _NO_BODY_STATUSES:
             lines.append(b"Content-Length: %d" % length)
         if self._connection.closes_after(self):
             lines.append(b"Connection: close")
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -266,7 +266,7 @@
         headers: Headers = [
             (name, value)
             for name, value in strip_hop_by_hop(answer.head.headers)
-            if name.lower() != b"content-length"
+            if name.lower() != b"content-length" or request.method == b"HEAD"
         ]
         self._count_answer(request, progress, str(answer.head.status))
         if answer.connection is None:
