A caller that is still sending a body gets the answer that came before its end

What callers saw: a connection reset in place of 413, 404 or an endpoint's early answer, when more of the body came than the sockets hold: the connection was closed at once, and closing one with unread bytes resets it.

Ruled out: the answer was written (the log has the refusal); callers that read while they send saw it mostly.

Change: after an answer before the end of a body the daemon ends its side, reads what still comes for at most 5 s, ignores it, and then closes. Malformed requests and heads without end are closed at once as before.

Test: tests/gateway/test_early_answers.py, 24 MB sent before the caller reads; failed on the code before (ConnectionResetError).

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Protocol
 
 import httptools
@@ -26,6 +27,9 @@
 # Limit on an element of a request that has not ended, beyond the limit on its whole head: the size
 # and extension of a chunk, and the parser's reading in slices.
 ELEMENT_MARGIN_BYTES = 16 * 1024
+# Time in seconds for which a caller that is still sending may go on after the last answer on its
+# connection. Closing a connection with unread bytes resets it, and the answer would be lost.
+LINGER_S = 5.0
 
 # Headers that announce a body.
 _BODY_HEADERS = {b"content-length", b"transfer-encoding"}
@@ -240,10 +244,22 @@
     def end_answer(self, request: IncomingRequest) -> None:
         """Ends an answer; closes the connection unless it is kept alive."""
         if self.closes_after(request):
-            self._closing = True
-            self._queue.clear()
-            if self._transport is not None:
-                self._transport.close()
+            self._close_after_answer()
+
+    def _close_after_answer(self) -> None:
+        """Closes the connection; the rest of a body that is arriving is read and ignored before."""
+        self._closing = True
+        self._queue.clear()
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        if self._receiving is None:
+            transport.close()
+            return
+        transport.write_eof()
+        if self._paused:
+            transport.resume_reading()
+        self._loop.call_later(LINGER_S, transport.close)
 
     def abort(self) -> None:
         """Closes the connection immediately, discarding unsent data."""
@@ -255,6 +271,7 @@
 
         If an answer has already begun, the connection is aborted. Requests that arrived whole
         before the invalid one are answered, and the connection is closed without an answer to it.
+        Of the bytes that follow only a body that is too large is still read.
         """
         if self._closing or self._refused:
             return
@@ -265,18 +282,19 @@
             if self._receiving is not None and self._receiving in self._queue:
                 self._queue.remove(self._receiving)
             return
-        self._closing = True
+        if status != HTTPStatus.REQUEST_ENTITY_TOO_LARGE:
+            self._receiving = None
         if self._task is not None:
             self._task.cancel()
         if self._current is not None and self._current.answered:
+            self._closing = True
             self.abort()
             return
         reason = REASONS[status]
         self.write(
             b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, reason)
         )
-        if self._transport is not None:
-            self._transport.close()
+        self._close_after_answer()
 
     @property
     def caller_host(self) -> str:
@@ -286,8 +304,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read, queued or handled."""
-        return self._current is None and not self._queue and self.head_since_s is None
+        """Whether no request is being read, queued or handled, or the last one is answered."""
+        is_waiting = self._current is None and not self._queue and self.head_since_s is None
+        return is_waiting or self._closing
 
     @property
     def has_unsent_bytes(self) -> bool:
