An endpoint's early answer doesn't wait for a caller that pauses

What callers saw: a caller that stops in the middle of a long body, as one does that waits for the answer, got 504 at the route's timeout in place of the answer that its endpoint had given.

Cause: the next part of the body was waited for, and the answer was looked at between two parts only. A connection to the endpoint that broke was noticed as late.

Change: both are waited for at once.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -297,16 +297,29 @@
     chunked = request.header(b"content-length") is None
     if chunked:
         await connection.send_body(b"\r\n")
-    while not connection.head_done:
-        chunk = await request.read_chunk()
-        if not chunk:
-            if chunked:
-                await connection.send_body(b"0\r\n\r\n")
-            return
-        await connection.send_body(b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk)
+    answered = asyncio.ensure_future(connection.wait_for_head())
+    try:
+        while (chunk := await _read_chunk(request, answered)) is not None:
+            if not chunk:
+                if chunked:
+                    await connection.send_body(b"0\r\n\r\n")
+                return
+            await connection.send_body(b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk)
+    finally:
+        answered.cancel()
     connection.close_after_use = True
 
 
+async def _read_chunk(request: IncomingRequest, answered: asyncio.Future[None]) -> bytes | None:
+    """Returns the next part of a body, empty at its end; None if the endpoint answers before."""
+    reading = asyncio.ensure_future(request.read_chunk())
+    try:
+        await asyncio.wait((reading, answered), return_when=asyncio.FIRST_COMPLETED)
+        return reading.result() if reading.done() and not answered.done() else None
+    finally:
+        reading.cancel()
+
+
 async def _drain_body(connection: Connection) -> None:
     """Reads and discards a body, so that the connection can be reused."""
     async for _ in connection.body():
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -296,6 +296,11 @@
         assert self._head is not None
         return await asyncio.shield(self._head)
 
+    async def wait_for_head(self) -> None:
+        """Waits until the head of the answer has arrived, or the connection has failed before."""
+        if self._head is not None:
+            await asyncio.wait((self._head,))
+
     async def body(self) -> AsyncIterator[bytes]:
         """Yields the body in chunks; raises BrokenAnswer when it is incomplete."""
         while True:
