The status of an endpoint that ran an order promises nothing to its caller

What callers saw: 503, 429 or 408 for an order that an endpoint had run, if that endpoint answered so without saying that it had not. For a caller each of them promises that the order has not run and never will, so it orders again.

Cause: an answer without the endpoint's own word for 'not run' was passed on unchanged, whatever its status.

Ruled out: refusals that say it (taken as such, and repeated elsewhere), idempotent requests (they may run twice; unchanged).

Change: such an answer to protected work is replaced by 502, which promises nothing, without a signature.

Test: test_status_of_an_endpoint_that_ran_an_order_promises_nothing, small and large answers; failed on the code before (408 for 502).

--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -39,7 +39,7 @@
     Served,
 )
 from lycheepin.steering.returns import CallerRetries
-from lycheepin.steering.routes import Route, RoutingTable, TrafficSplitter
+from lycheepin.steering.routes import RequestKind, Route, RoutingTable, TrafficSplitter
 from lycheepin.steering.suspects import Quarantined
 from lycheepin.transport.connection import BrokenAnswer, Headers
 from lycheepin.transport.headers import strip_hop_by_hop
@@ -49,6 +49,8 @@
 # Retry-After, in seconds, of a daemon that has no configuration yet.
 STARTING_RETRY_AFTER_S = 0.5
 MS_PER_S = 1000
+# Statuses with which a daemon promises that a request has not run and will not.
+PROMISES = frozenset((408, 421, 429, 503))
 
 
 class RequestHandler:
@@ -262,7 +264,16 @@
         endpoint: Endpoint,
         answer: EndpointAnswer,
     ) -> None:
-        """Forwards an endpoint's answer; aborts the caller's connection if it is incomplete."""
+        """Forwards an endpoint's answer; aborts the caller's connection if it is incomplete.
+
+        The endpoint has run the request, so a status that would promise the caller of protected
+        work that it has not is replaced.
+        """
+        if answer.head.status in PROMISES and progress.route.kind is RequestKind.PROTECTED:
+            if answer.connection is not None:
+                answer.connection.close()
+            self._finish_with_error(request, progress, ErrorKind.ENDPOINT_BROKE, None)
+            return
         headers: Headers = [
             (name, value)
             for name, value in strip_hop_by_hop(answer.head.headers)
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -19,6 +19,25 @@
         self.assertEqual(status, 502)
         self.assertEqual(sum(len(endpoint.received_requests) for endpoint in endpoints), 1)
 
+    # Guards against a caller paying twice, as it takes an endpoint's failure for "not run".
+    async def test_status_of_an_endpoint_that_ran_an_order_promises_nothing(self) -> None:
+        statuses = (408, 429, 503)
+
+        async def fail(received: ReceivedRequest) -> bytes:
+            status = int(received.target.rpartition("/")[2])
+            size = 2_000_000 if "large" in received.target else 2
+            return build_answer(received, status, b"x" * size)
+
+        endpoint = await self.add_endpoint("a", fail)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        for status in statuses:
+            for path in (f"/order/{status}", f"/order/large/{status}"):
+                answered, headers, _ = await self.send_request(gateway, request(path, "POST"))
+                self.assertEqual(answered, 502)
+                self.assertNotIn("response-signature", headers)
+        self.assertEqual(len(endpoint.received_requests), 2 * len(statuses))
+
     async def test_idempotent_request_is_retried_once_at_another_endpoint(self) -> None:
         async def reset_first(received: ReceivedRequest) -> bytes:
             is_first = sum(len(endpoint.received_requests) for endpoint in self.endpoints) == 1
