Hosts and targets of requests are read in each form that HTTP allows

What callers saw: 404 for a host in other letters or with a final dot, and for a target with scheme and host, as clients send it that take the daemon for their proxy.

Change: hosts are compared in lower case without the dot; the host of an absolute target goes before the header. Targets are passed on as they came. Routes are kept by host in lower case.

Test: test_host_and_target_are_read_in_each_form_that_the_protocol_allows; failed on the code before (404).

--- a/lycheepin/gateway/fingerprints.py
+++ b/lycheepin/gateway/fingerprints.py
@@ -24,8 +24,7 @@
     part and the length count. `identifying` has the lower-case names of further headers that count.
     The network address does not: a caller may have several.
     """
-    host = request.host.encode("latin-1").lower()
-    parts = [request.method, host, request.target]
+    parts = [request.method, request.host.encode("latin-1"), request.target]
     parts += [request.header(name) or b"" for name in (*_CREDENTIALS, *identifying)]
     if len(body) > MAX_BUFFERED_BODY_BYTES:
         parts.append(request.header(b"content-length") or b"")
--- a/lycheepin/gateway/incoming.py
+++ b/lycheepin/gateway/incoming.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
@@ -25,6 +26,8 @@
 # Reason phrase of each HTTP status.
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 _NO_BODY_STATUSES = (204, 304)
+# Scheme and host of a target that names them, as requests to a proxy do.
+_ABSOLUTE_FORM = re.compile(rb"https?://([^/?]*)", re.IGNORECASE)
 
 
 @dataclass(frozen=True)
@@ -98,13 +101,16 @@
 
     @property
     def host(self) -> str:
-        """The host that the request names, without its port."""
-        return (self.header(b"host") or b"").decode("latin-1").partition(":")[0]
+        """The host that the request names, in lower case and without its port."""
+        absolute = _ABSOLUTE_FORM.match(self.target)
+        host = absolute[1] if absolute else self.header(b"host") or b""
+        return host.decode("latin-1").partition(":")[0].rstrip(".").lower()
 
     @property
     def path(self) -> str:
-        """The target without its query string."""
-        return self.target.split(b"?", 1)[0].decode("latin-1")
+        """The path of the target, without its query string."""
+        target = _ABSOLUTE_FORM.sub(b"", self.target)
+        return target.split(b"?", 1)[0].decode("latin-1")
 
     def feed_body(self, chunk: bytes) -> int:
         """Adds a part of the body; returns the number of buffered bytes."""
--- a/lycheepin/steering/routes.py
+++ b/lycheepin/steering/routes.py
@@ -84,7 +84,7 @@
 
 @dataclass(frozen=True)
 class RoutingTable:
-    """The routes of one version of the configuration by host, and its services and limits."""
+    """The routes of one version by their host in lower case, and its services and limits."""
 
     version: int
     services: dict[ServiceName, ServiceSpec]
@@ -102,7 +102,7 @@
         """Returns a table of routes, which matches longer prefixes first."""
         by_host: dict[str, list[Route]] = {}
         for route in routes:
-            by_host.setdefault(route.host, []).append(route)
+            by_host.setdefault(route.host.lower(), []).append(route)
         ordered = {
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in by_host.items()
@@ -110,7 +110,7 @@
         return cls(version, services, limits, ordered)
 
     def match(self, host: str, path: str) -> Route | None:
-        """Returns the route of `host` with the longest prefix of `path`, or None."""
+        """Returns the route of `host`, in lower case, with the longest prefix of `path`, or None."""
         for route in self.by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -214,3 +214,26 @@
         await self.wait_until(lambda: unconfigured.state.store_answers)
         self.assertEqual((await self.send_request(unconfigured, request("/nowhere/")))[0], 503)
         self.assertFalse(unconfigured.ready)
+
+    # Guards against proper requests being refused for the form of their target or host.
+    async def test_host_and_target_are_read_in_each_form_that_the_protocol_allows(self) -> None:
+        endpoint = await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        forms = (
+            ("/read/1?q=1", "A.Example"),
+            ("/read/1?q=1", "a.example:80"),
+            ("/read/1?q=1", "a.example."),
+            ("http://a.example/read/1?q=1", "a.example"),
+            ("HTTP://A.EXAMPLE:80/read/1?q=1", "a.example"),
+        )
+        for target, host in forms:
+            with self.subTest((target, host)):
+                status, _, _ = await self.send_request(gateway, request(target, Host=host))
+                self.assertEqual(status, 200)
+        self.assertEqual(
+            [received.target for received in endpoint.received_requests],
+            [target for target, _ in forms],
+        )
+        status, _, _ = await self.send_request(gateway, request("http://b.example/read/1"))
+        self.assertEqual(status, 404)
