A request with two hosts is refused

What could happen: the daemon routes by the last of two Host headers and passes both on; an endpoint or a filter that reads the first takes the request for another host's.

Change: refused with 400, as HTTP asks.

Test: test_request_with_two_hosts_is_refused; failed on the code before (404 by the second host).

--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/gateway/caller_connection.py
@@ -165,6 +165,8 @@
         self._count_head_bytes(len(name) + len(value))
         if self._receiving is not None:
             return
+        if name.lower() == b"host" and b"host" in self._parsing.headers_by_name:
+            raise httptools.HttpParserError("two hosts")
         self._parsing.headers.append((name, value))
         self._parsing.headers_by_name[name.lower()] = value
 
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -237,3 +237,12 @@
         )
         status, _, _ = await self.send_request(gateway, request("http://b.example/read/1"))
         self.assertEqual(status, 404)
+
+    # Guards against a request that two parties read as one for different hosts.
+    async def test_request_with_two_hosts_is_refused(self) -> None:
+        endpoint = await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        content = request().replace(b"\r\n\r\n", b"\r\nHost: b.example\r\n\r\n")
+        self.assertEqual((await self.send_request(gateway, content))[0], 400)
+        self.assertEqual(endpoint.received_requests, [])
