--- a/lycheepin/steering/routes.py
+++ b/lycheepin/steering/routes.py
@@ -110,7 +110,7 @@
         return cls(version, services, limits, ordered)
 
     def match(self, host: str, path: str) -> Route | None:
-        """Returns the route of a host, in lower case, with the longest prefix of `path`, or None."""
+        """Returns the route of a host in lower case with the longest prefix of `path`, or None."""
         for route in self.by_host.get(host, ()):
             if path.startswith(route.prefix):
                 return route
