Changes that are older than a page of the listing are skipped

What callers could see: an endpoint that is draining, an ended evacuation or a removed limit in use again for a moment after a listing, when changes came between its pages and the store returns the rest of them bit by bit.

Cause: a listing counts as of its first page, so the changes between the pages come again with the next watch. One batch with all of them ends at the newest value; several batches go back to an older one first.

Change: a change that is older than what is known of its key is skipped, for the daemon and its followers.

Test: test_changes_that_are_older_than_a_page_of_the_listing_are_skipped, on a stand-in that returns one change an answer; failed on the code before (ready after draining).

--- a/lycheepin/gateway/following.py
+++ b/lycheepin/gateway/following.py
@@ -337,8 +337,8 @@
 
     def _apply_changes(self, changes: Changes) -> None:
         """Applies changes to the replica and, for each key, the last one to the gateway's state."""
-        self._replica.apply_changes(changes)
-        for event in {event.key: event for event in changes.events}.values():
+        news = self._replica.apply_changes(changes)
+        for event in {event.key: event for event in news}.values():
             if isinstance(event, Item):
                 self._reader.apply_entry(event)
             else:
--- a/lycheepin/gateway/mirror.py
+++ b/lycheepin/gateway/mirror.py
@@ -66,17 +66,28 @@
         self.filled.set()
         self._notify_followers()
 
-    def apply_changes(self, changes: Changes) -> None:
-        """Applies the changes after the replica's position."""
-        for event in changes.events:
+    def apply_changes(self, changes: Changes) -> tuple[Item | Removed, ...]:
+        """Applies the changes after the replica's position; returns those that are news.
+
+        The pages of a listing are no snapshot: an item may be newer than the listing's position,
+        and what led to it comes again afterwards.
+        """
+        news = tuple(event for event in changes.events if not self._is_outdated(event))
+        for event in news:
             if isinstance(event, Item):
                 self._items[event.key] = event
             else:
                 self._items.pop(event.key, None)
             self._append_change(event.position, event.key)
         self.position = changes.as_of
-        if changes.events:
+        if news:
             self._notify_followers()
+        return news
+
+    def _is_outdated(self, event: Item | Removed) -> bool:
+        """Returns whether a newer state of a changed item is known."""
+        known = self._items.get(event.key)
+        return known is not None and event.position < known.position
 
     def read_updates(self, after: Position) -> Listing | Changes | None:
         """Returns the updates for a follower at position `after`; None before the first listing.
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -24,6 +24,8 @@
 
 # Items of one page of a listing.
 PAGE_ITEMS = 5
+# Changes of one answer to a watch.
+MAX_EVENTS = 1000
 # Time to live of the leases of a restored copy, in milliseconds.
 RESTORED_LEASE_MS = 4000
 MS_PER_S = 1000
@@ -48,6 +50,8 @@
         execution_delay_s: Time between the arrival of a call and its execution.
         write_delay_s: Additional time before a write; the connection of its call is closed at once.
         min_ttl_ms: Shortest time to live of a lease that is granted.
+        max_events: Changes in one answer to a watch; the next watch returns the rest.
+        on_page: Called after each page of a listing.
         override_status: Returns the status with which a call to a target is rejected, None to
             serve the call.
 
@@ -64,6 +68,8 @@
         self.execution_delay_s = 0.0
         self.write_delay_s = 0.0
         self.min_ttl_ms = 0
+        self.max_events = MAX_EVENTS
+        self.on_page: Callable[[], None] = lambda: None
         self.override_status: Callable[[str], int | None] = lambda target: None
         self._history: deque[dict[str, Any]] = deque()
         self._history_after = 0
@@ -213,7 +219,9 @@
         """Carries out one call and returns its status and body."""
         match method, path.split("/")[2:]:
             case "GET", ["kv-range"]:
-                return 200, self._list_page(fields.get("prefix", ""), fields.get("after", ""))
+                page = self._list_page(fields.get("prefix", ""), fields.get("after", ""))
+                self.on_page()
+                return 200, page
             case "GET", ["kv-watch"]:
                 return await self._watch(
                     fields.get("prefix", ""), int(fields["after"]), int(fields["waitMs"])
@@ -251,6 +259,9 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
+            if len(events) > self.max_events:
+                events = events[: self.max_events]
+                return 200, {"events": events, "asOf": events[-1]["revision"]}
             if events or remaining_s <= 0:
                 return 200, {"events": events, "asOf": self.revision}
             try:
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -4,6 +4,7 @@
 
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import DaemonName, EndpointId
+from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.transport import calls
 from tests.gateway.deployment import (
     HOST,
@@ -77,6 +78,34 @@
         self.store.put("op/config", configuration(9))
         await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 9)
 
+    # Guards against an endpoint that is draining being used again after a listing.
+    async def test_changes_that_are_older_than_a_page_of_the_listing_are_skipped(self) -> None:
+        for name in "abcdefgh":
+            endpoint = await self.add_endpoint(name)
+
+        def change_while_listed() -> None:
+            self.store.on_page = lambda: None
+            for sequence, state in enumerate(("ready", "draining"), 2):
+                entry = endpoint.build_entry("north-1", state=state, sequence=sequence)
+                self.store.put("servers/h", entry)
+
+        self.store.max_events = 1
+        self.store.on_page = change_while_listed
+        gateway = await self.add_gateway()
+        states: list[bool] = []
+        register = gateway.registry.register
+
+        def observe(record: EndpointRecord, now_s: float) -> bool:
+            if record.id == "h":
+                states.append(record.draining)
+            return register(record, now_s)
+
+        gateway.registry.register = observe  # type: ignore[method-assign]
+        await self.wait_until_ready(gateway)
+        self.store.put("op/config", configuration(9))
+        await self.wait_until(lambda: gateway.state.table and gateway.state.table.version == 9)
+        self.assertEqual(set(states), {True})
+
     async def test_listing_replaces_changes_that_cannot_be_read(self) -> None:
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
