Leases are renewed within the time that the store granted, and sooner after a failure

Cause: renewals came every 1.5 s whatever time to live applied, and after a failed one as well: the second at 4.0 s at the earliest, when the lease has ended.

Change: the interval is 3/8 of what was granted, a third of it after a failure.

Tests: Renewal in tests/gateway/test_registration.py (the function is new with them; by the old rule 1.5 s of a lease of 1.0 s, and 5.0 of 4.0 s after a lost answer).

--- a/lycheepin/gateway/registration.py
+++ b/lycheepin/gateway/registration.py
@@ -10,12 +10,15 @@
 from lycheepin.gateway.storage import Lease, LeaseEnded, Store, Stored, StoreFailure
 from lycheepin.names import DaemonName
 
-__all__ = ["Registration", "RegistrationState"]
+__all__ = ["Registration", "RegistrationState", "find_renewal_pause_s"]
 
-# Time to live of a daemon's entry and interval of its renewals, in seconds. Together they stay
-# below the 6 s after which the directory must not return a dead daemon.
+# Time to live of a daemon's entry, in seconds, if the store grants that, and the interval of its
+# renewals as a part of what was granted. Together they stay below the 6 s after which the directory
+# must not return a dead daemon.
 LEASE_TTL_S = 4.0
-RENEWAL_S = 1.5
+RENEWAL_FRACTION = 3 / 8
+# Part of the interval after which a renewal that failed is repeated.
+RETRY_FRACTION = 1 / 3
 # Pause in seconds after a failed call; doubled with each further one up to the maximum.
 RETRY_PAUSE_S = 0.25
 # Longest pause in seconds between attempts to write this daemon's entry; each one is a priced call
@@ -54,6 +57,7 @@
         self._encode_entry = encode_entry
         self._name = name
         self._lease: Lease | None = None
+        self._renewal_failed = False
         self._entry_removed = asyncio.Event()
         self.state = RegistrationState.REGISTERING
 
@@ -115,9 +119,11 @@
                 self.state = RegistrationState.REGISTERED
 
     async def _keep_entry(self) -> None:
-        """Renews the lease after RENEWAL_S seconds, unless the entry is removed before."""
+        """Renews the lease after a while, unless the entry is removed before."""
+        assert self._lease is not None
         try:
-            async with asyncio.timeout(RENEWAL_S):
+            pause_s = find_renewal_pause_s(self._lease.ttl_s, self._renewal_failed)
+            async with asyncio.timeout(pause_s):
                 await self._entry_removed.wait()
             self._entry_removed.clear()
             ended = True
@@ -142,4 +148,15 @@
         """Renews the lease; returns whether it has ended."""
         if self._lease is None:
             return True
-        return isinstance(await self._store.renew_lease(self._lease), LeaseEnded)
+        answer = await self._store.renew_lease(self._lease)
+        self._renewal_failed = isinstance(answer, StoreFailure)
+        return isinstance(answer, LeaseEnded)
+
+
+def find_renewal_pause_s(ttl_s: float, failed: bool) -> float:
+    """Returns the seconds to the renewal of a lease with a time to live that the store granted.
+
+    After a renewal that failed the pause is shorter, so that the lease outlives a lost answer.
+    """
+    pause_s = RENEWAL_FRACTION * min(ttl_s, LEASE_TTL_S)
+    return pause_s * RETRY_FRACTION if failed else pause_s
--- a/tests/gateway/test_registration.py
+++ b/tests/gateway/test_registration.py
@@ -5,7 +5,12 @@
 from collections.abc import Awaitable, Mapping
 
 from lycheepin.gateway.mirror import StoreReplica
-from lycheepin.gateway.registration import Registration, RegistrationState
+from lycheepin.gateway.registration import (
+    LEASE_TTL_S,
+    Registration,
+    RegistrationState,
+    find_renewal_pause_s,
+)
 from lycheepin.gateway.storage import (
     Changes,
     HistoryLost,
@@ -16,6 +21,7 @@
     StoreFailure,
 )
 from lycheepin.names import DaemonName
+from lycheepin.platform.metadata import CALL_TIMEOUT_S
 
 NAME = DaemonName("daemon-1")
 KEY = "daemons/daemon-1"
@@ -165,3 +171,16 @@
             await self.registration.withdraw()
 
         await self._run(lose_first_answer())
+
+
+class Renewal(unittest.TestCase):
+    # Guards against an entry that lapses again and again where the store grants less than asked.
+    def test_lease_is_renewed_within_the_time_that_was_granted(self) -> None:
+        for ttl_s in (0.5, 1.0, 4.0, 60.0):
+            self.assertLessEqual(find_renewal_pause_s(ttl_s, failed=False), ttl_s / 2)
+
+    # Guards against a daemon that directories no longer name after one lost answer.
+    def test_lease_outlives_a_renewal_whose_answer_is_lost(self) -> None:
+        first_s = find_renewal_pause_s(LEASE_TTL_S, failed=False) + CALL_TIMEOUT_S
+        second_s = first_s + find_renewal_pause_s(LEASE_TTL_S, failed=True)
+        self.assertLess(second_s + CALL_TIMEOUT_S / 2, LEASE_TTL_S)
