--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -12,7 +12,6 @@
 from lycheepin.gateway.answer_matcher import AnswerMatcher
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.gateway.incoming import BodyStart, IncomingRequest, RequestBody, WholeBody
 from lycheepin.gateway.response_watchdog import ResponseWatchdog
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
@@ -21,6 +20,7 @@
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import strip_hop_by_hop
+from lycheepin.transport.incoming import BodyStart, IncomingRequest, RequestBody, WholeBody
 
 __all__ = ["AttemptOutcome", "AttemptRunner", "EndpointAnswer"]
 
--- a/lycheepin/gateway/fingerprints.py
+++ b/lycheepin/gateway/fingerprints.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable
 from hashlib import blake2b
 
-from lycheepin.gateway.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
 from lycheepin.steering.suspects import Fingerprint
+from lycheepin.transport.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
 
 __all__ = ["fingerprint_request"]
 
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -15,8 +15,6 @@
 from lycheepin.gateway.deployment_state import DeploymentState
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.directory import DaemonRecord, Directory
-from lycheepin.gateway.incoming import IncomingRequest
-from lycheepin.gateway.listener import Listener
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.relay import RELAY_PATH, Relay
 from lycheepin.gateway.request_handler import RequestHandler
@@ -35,6 +33,8 @@
 from lycheepin.steering.routes import RoutingTable
 from lycheepin.steering.suspects import SuspectRegistry
 from lycheepin.transport.connection import ConnectionPool
+from lycheepin.transport.incoming import IncomingRequest
+from lycheepin.transport.listener import Listener
 
 __all__ = ["Gateway", "Platform", "run_gateway"]
 
--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -9,12 +9,12 @@
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.utils import deserialize, serialize
 
-from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.gateway.storage import Changes, Item, Listing, Position, Removed
 from lycheepin.generated.messages import RelayAnswer, StoreEntry, StoreNews
 from lycheepin.transport.calls import CallAnswer, CallFailure, HttpClient
+from lycheepin.transport.incoming import IncomingRequest
 
 __all__ = ["RELAY_PATH", "Relay", "PeerUpdates", "poll_peer", "decode_updates", "encode_updates"]
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -10,12 +10,6 @@
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.fingerprints import fingerprint_request
-from lycheepin.gateway.incoming import (
-    MAX_BUFFERED_BODY_BYTES,
-    IncomingRequest,
-    RequestBody,
-    WholeBody,
-)
 from lycheepin.gateway.request_log import RequestLog
 from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
@@ -43,6 +37,12 @@
 from lycheepin.steering.suspects import Quarantined
 from lycheepin.transport.connection import BrokenAnswer, Headers
 from lycheepin.transport.headers import strip_hop_by_hop
+from lycheepin.transport.incoming import (
+    MAX_BUFFERED_BODY_BYTES,
+    IncomingRequest,
+    RequestBody,
+    WholeBody,
+)
 
 __all__ = ["RequestHandler"]
 
--- a/lycheepin/gateway/request_log.py
+++ b/lycheepin/gateway/request_log.py
@@ -7,7 +7,6 @@
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.steering.dispatch import Refusal, SelectedEndpoint, WeighedEndpoint
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.progress import (
@@ -19,6 +18,7 @@
 )
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.suspects import Quarantined
+from lycheepin.transport.incoming import IncomingRequest
 
 __all__ = ["RequestLog"]
 
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -10,7 +10,6 @@
 from urllib.parse import parse_qs
 
 from lycheepin.gateway.following import StoreSynchronizer
-from lycheepin.gateway.incoming import IncomingRequest
 from lycheepin.gateway.own_entries import DAEMON_PREFIX, encode_daemon, encode_suspicion
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
 from lycheepin.gateway.registration import Registration
@@ -22,6 +21,7 @@
 from lycheepin.platform.reader import PlatformReader
 from lycheepin.platform.settings import SETTINGS_VARIABLE, SettingsError, load_settings
 from lycheepin.transport.calls import HttpClient
+from lycheepin.transport.incoming import IncomingRequest
 
 __all__ = ["KvPlatform", "main"]
 
--- a/lycheepin/gateway/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -14,8 +14,8 @@
 
 import httptools
 
-from lycheepin.gateway.incoming import REASONS, IncomingRequest
 from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.incoming import REASONS, IncomingRequest
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 
 __all__ = ["ELEMENT_MARGIN_BYTES", "CallerConnection", "Handler", "Server"]
--- a/lycheepin/gateway/listener.py
+++ b/lycheepin/transport/listener.py
@@ -5,8 +5,8 @@
 import asyncio
 from collections.abc import Callable
 
-from lycheepin.gateway.caller_connection import CallerConnection, Handler
 from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.caller_connection import CallerConnection, Handler
 
 __all__ = ["Listener"]
 
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -17,8 +17,8 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote
 
-from lycheepin.gateway.incoming import IncomingRequest
-from lycheepin.gateway.listener import Listener
+from lycheepin.transport.incoming import IncomingRequest
+from lycheepin.transport.listener import Listener
 
 __all__ = ["MetadataStandIn", "StoreCopy"]
 
--- a/tests/gateway/connections.py
+++ b/tests/gateway/connections.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from lycheepin.gateway.incoming import IncomingRequest
+from lycheepin.transport.incoming import IncomingRequest
 
 __all__ = ["UnusedConnection"]
 
--- a/tests/gateway/test_large_bodies.py
+++ b/tests/gateway/test_large_bodies.py
@@ -7,13 +7,13 @@
 import random
 from collections.abc import Iterator
 
-from lycheepin.gateway.incoming import (
+from lycheepin.gateway.process import Gateway
+from lycheepin.transport.incoming import (
     MAX_BUFFERED_BODY_BYTES,
     BodyStart,
     IncomingRequest,
     WholeBody,
 )
-from lycheepin.gateway.process import Gateway
 from tests.gateway.connections import UnusedConnection
 from tests.gateway.deployment import DeploymentCase
 
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -4,8 +4,8 @@
 
 import asyncio
 
-from lycheepin.gateway.listener import TIMEOUT_CHECK_S
 from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.listener import TIMEOUT_CHECK_S
 from standins.servers import ReceivedRequest, build_answer
 from tests.gateway.deployment import TIMEOUT_S, DeploymentCase, read_answer, request
 
--- a/tests/gateway/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -4,9 +4,9 @@
 import unittest
 from unittest.mock import Mock
 
-from lycheepin.gateway.caller_connection import ELEMENT_MARGIN_BYTES, CallerConnection
-from lycheepin.gateway.incoming import IncomingRequest
-from lycheepin.gateway.listener import Listener
+from lycheepin.transport.caller_connection import ELEMENT_MARGIN_BYTES, CallerConnection
+from lycheepin.transport.incoming import IncomingRequest
+from lycheepin.transport.listener import Listener
 from lycheepin.transport.progress_limit import SLICE_BYTES
 
 START = b"POST /a HTTP/1.1\r\nHost: x\r\n"
