Space behind the value of a header is not a part of it

What callers saw: 404 for 'Host: name ' and 504 for 'Request-Id: id ', which HTTP allows: the endpoint echoed the id without the space, and its answer, which it had run the request for, was taken for another request's.

Cause: the parser strips space before a value and leaves what is behind it.

Change: both sides strip it when they take a header.

Test: test_space_behind_values_is_not_a_part_of_them; failed on the code before (404).

--- a/lycheepin/daemon/caller_request.py
+++ b/lycheepin/daemon/caller_request.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from lycheepin.errors import Fault
-from lycheepin.transport.connection import Headers
+from lycheepin.transport.headers import Headers
 
 __all__ = ["CallerGone", "CallerRequest"]
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -35,8 +35,8 @@
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import RequestKind, Route, RoutingTable, TrafficSplitter
 from lycheepin.steering.suspects import Quarantined
-from lycheepin.transport.connection import BrokenAnswer, Headers
-from lycheepin.transport.headers import strip_hop_by_hop
+from lycheepin.transport.connection import BrokenAnswer
+from lycheepin.transport.headers import Headers, strip_hop_by_hop
 from lycheepin.transport.incoming import (
     MAX_BUFFERED_BODY_BYTES,
     IncomingRequest,
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -15,6 +15,7 @@
 import httptools
 
 from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.headers import WHITESPACE
 from lycheepin.transport.incoming import REASONS, IncomingRequest
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 
@@ -167,6 +168,7 @@
             return
         if name.lower() == b"host" and b"host" in self._parsing.headers_by_name:
             raise httptools.HttpParserError("two hosts")
+        value = value.rstrip(WHITESPACE)
         self._parsing.headers.append((name, value))
         self._parsing.headers_by_name[name.lower()] = value
 
--- a/lycheepin/transport/calls.py
+++ b/lycheepin/transport/calls.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from lycheepin.names import Address
-from lycheepin.transport.connection import BrokenAnswer, Connection, ConnectionPool, Headers
+from lycheepin.transport.connection import BrokenAnswer, Connection, ConnectionPool
+from lycheepin.transport.headers import Headers
 
 __all__ = ["CallAnswer", "CallFailure", "HttpClient"]
 
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -15,11 +15,11 @@
 import httptools
 
 from lycheepin.names import Address
+from lycheepin.transport.headers import WHITESPACE, Headers
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 
-__all__ = ["AnswerHead", "BrokenAnswer", "Connection", "ConnectionPool", "Headers"]
+__all__ = ["AnswerHead", "BrokenAnswer", "Connection", "ConnectionPool"]
 
-Headers = list[tuple[bytes, bytes]]
 
 # Buffered bytes of a body at which reading from the socket pauses, and resumes.
 HIGH_WATER_BYTES = 256 * 1024
@@ -145,7 +145,7 @@
         if self._header_bytes > MAX_HEADER_BYTES:
             self._fail("headers too large")
             return
-        self._headers.append((name, value))
+        self._headers.append((name, value.rstrip(WHITESPACE)))
 
     def on_message_begin(self) -> None:
         """Called by the parser; a message after a complete answer makes the connection unusable."""
--- a/lycheepin/transport/headers.py
+++ b/lycheepin/transport/headers.py
@@ -1,10 +1,14 @@
-"""Removes headers that apply to a single connection before a message is forwarded."""
+"""Headers of messages, and the removal of those that apply to a single connection."""
 
 from __future__ import annotations
 
-from lycheepin.transport.connection import Headers
+__all__ = ["WHITESPACE", "Headers", "strip_hop_by_hop"]
 
-__all__ = ["strip_hop_by_hop"]
+# Names and values in their order.
+Headers = list[tuple[bytes, bytes]]
+
+# What may stand behind a value without belonging to it; the parser leaves it there.
+WHITESPACE = b" \t"
 
 HOP_BY_HOP = frozenset(
     (
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -9,7 +9,7 @@
 from http import HTTPStatus
 from typing import Protocol
 
-from lycheepin.transport.connection import Headers
+from lycheepin.transport.headers import Headers
 
 __all__ = [
     "MAX_BUFFERED_BODY_BYTES",
--- a/tests/gateway/test_odd_headers.py
+++ b/tests/gateway/test_odd_headers.py
@@ -1,7 +1,8 @@
-"""Headers with numbers that are too large, from endpoints and from callers."""
+"""Headers with odd values, from endpoints and from callers."""
 
 from __future__ import annotations
 
+from standins.servers import ReceivedRequest, build_answer
 from tests.gateway.deployment import DeploymentCase, request
 
 DIGITS = "9" * 400
@@ -45,3 +46,21 @@
         for number in (DIGITS, "9" * 3000):
             status, _, _ = await self.send_request(gateway, request(Deadline_Ms=number))
             self.assertEqual(status, 200)
+
+
+class SpaceAroundValues(DeploymentCase):
+    # Guards against a request that runs being answered 504, as its id seems to be another one.
+    async def test_space_behind_values_is_not_a_part_of_them(self) -> None:
+        async def script(received: ReceivedRequest) -> bytes:
+            received.headers["request-id"] = received.headers["request-id"].strip()
+            answer = build_answer(received, Server_Load="1,0,4")
+            return answer.replace(b"Request-Id: r1\r\n", b"Request-Id:  r1 \t\r\n")
+
+        await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        content = request().replace(b"a.example\r\n", b" a.example \t\r\n")
+        content = content.replace(b"Request-Id: r1\r\n", b"Request-Id: \t r1 \r\n")
+        content = content.replace(b"Deadline-Ms: 4000\r\n", b"Deadline-Ms: 4000 \r\n")
+        status, headers, _ = await self.send_request(gateway, content)
+        self.assertEqual((status, headers["request-id"]), (200, "r1"))
