Trailers of a skipped answer are no headers of the one behind it

What could happen: an extra answer in chunks, skipped by its id, names 'Not-Executed' in a trailer; the answer behind it is taken for a refusal, and the request is sent again.

Cause: the headers that are collected for the next head were emptied at the end of a head only.

Test: test_trailers_of_a_skipped_answer_are_no_headers_of_the_next_one; failed on the code before.

--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -152,6 +152,7 @@
         if self._complete:
             self._extra_message = True
         self._skipping_answer = False
+        self._headers = []
 
     def on_headers_complete(self) -> None:
         """Called by the parser; interim heads and heads of rejected answers are skipped."""
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -5,6 +5,7 @@
 from lycheepin.transport.connection import BrokenAnswer, Connection, ConnectionPool
 
 HOST = Address("127.0.0.1")
+from tests.transport.connections import open_connection
 
 
 class AnswerEndTest(unittest.IsolatedAsyncioTestCase):
@@ -60,6 +61,24 @@
         self.assertFalse(connection.reusable)
 
 
+class SkippedAnswerTest(unittest.IsolatedAsyncioTestCase):
+    # Guards against an extra answer lending its trailers to the answer behind it.
+    async def test_trailers_of_a_skipped_answer_are_no_headers_of_the_next_one(self) -> None:
+        connection, _ = open_connection()
+        connection.close_after_use = False
+        connection.data_received(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        connection.send_request_head(
+            b"GET / HTTP/1.1\r\n\r\n", accept=lambda head: head.header(b"extra") is None
+        )
+        connection.data_received(
+            b"HTTP/1.1 200 OK\r\nExtra: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"2\r\nno\r\n0\r\nNot-Executed: 1\r\n\r\n"
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        )
+        head = await connection.head()
+        self.assertEqual(head.headers, [(b"Content-Length", b"2")])
+
+
 class PoolRestTest(unittest.IsolatedAsyncioTestCase):
     async def test_connection_that_rested_longer_than_allowed_is_closed(self) -> None:
         async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
