--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -3,9 +3,9 @@
 
 from lycheepin.names import Address
 from lycheepin.transport.connection import BrokenAnswer, Connection, ConnectionPool
+from tests.transport.connections import open_connection
 
 HOST = Address("127.0.0.1")
-from tests.transport.connections import open_connection
 
 
 class AnswerEndTest(unittest.IsolatedAsyncioTestCase):
