Both interfaces have one HTTP server, and one way to send a body on

What callers of the own interface saw: a request that offers an upgrade ran with an empty body and was answered 200, and what came behind it on the connection was lost; trailers were taken for headers (routed by them).

Ruled out: the request path behind the server (the same requests without the offer arrived whole).

A body is asked for when it is first read, so a refused one isn't. transport/streaming.py sends bodies on for both interfaces.

--- a/lycheepin/daemon/caller_request.py
+++ b/lycheepin/daemon/caller_request.py
@@ -1,52 +1,46 @@
-"""A request as received from an ASGI server."""
+"""A request as received from a caller or from another daemon."""
 
 from __future__ import annotations
 
 import asyncio
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
-from typing import Any
+from urllib.parse import unquote
 
 from lycheepin.errors import Fault
 from lycheepin.transport.headers import Headers
+from lycheepin.transport.incoming import IncomingRequest
 
 __all__ = ["CallerGone", "CallerRequest"]
 
 BUFFERED_BODY_BYTES = 64 * 1024
 
-Receive = Callable[[], Awaitable[dict[str, Any]]]
-SendEvent = Callable[[dict[str, Any]], Awaitable[None]]
-
 
 class CallerGone(Exception):
     """The caller closed its connection before the answer was complete."""
 
 
 class CallerRequest:
-    """A request from a caller or another daemon, and the channel for its answer."""
-
-    def __init__(self, scope: dict[str, Any], receive: Receive, send: SendEvent) -> None:
-        self._receive = receive
-        self._send = send
-        self.method: str = scope["method"]
-        self.path: str = scope["path"]
-        self.headers: Headers = list(scope["headers"])
-        self.caller_address: str = scope["client"][0] if scope.get("client") else ""
-        query: bytes = scope.get("query_string", b"")
-        raw_path: bytes = scope.get("raw_path") or self.path.encode()
-        self.target = raw_path + (b"?" + query if query else b"")
+    """A request from a caller or another daemon, and the channel for its answer.
+
+    Unlike the task of its connection it outlives its caller: a protected request runs to its end.
+    """
+
+    def __init__(self, incoming: IncomingRequest) -> None:
+        self._incoming = incoming
+        self.method = incoming.method.decode("latin-1")
+        self.path = unquote(incoming.path)
+        self.headers: Headers = [(name.lower(), value) for name, value in incoming.headers]
+        self.caller_address = incoming.caller_host
+        self.target = incoming.target
         self.body: bytes | None = None
         self.body_consumed = False
         self.answer_started = False
+        self.answer_ended = False
         self.caller_gone = asyncio.Event()
-        self._watch_task: asyncio.Task[None] | None = None
 
     def header(self, name: bytes) -> str | None:
         """Returns the last value of a header by its lower-case name, or None."""
-        found = None
-        for key, value in self.headers:
-            if key == name:
-                found = value
+        found = self._incoming.header(name)
         return found.decode("latin-1") if found is not None else None
 
     @property
@@ -67,50 +61,57 @@
         if content_length == 0:
             self.body = b""
         elif content_length is not None and content_length <= BUFFERED_BODY_BYTES:
-            self.body = b"".join([chunk async for chunk in self.stream_body()])
-        if self.body is not None:
-            self._watch_task = asyncio.get_running_loop().create_task(self._watch_caller())
+            parts = []
+            while chunk := await self.read_chunk():
+                parts.append(chunk)
+            self.body = b"".join(parts)
+
+    async def read_chunk(self) -> bytes:
+        """Returns the next part of the body, empty at its end.
 
-    async def stream_body(self) -> AsyncIterator[bytes]:
-        """Yields the chunks of the body; raises CallerGone when the caller disconnects."""
+        Raises CallerGone when the caller disconnects before.
+        """
         self.body_consumed = True
-        while True:
-            event = await self._receive()
-            if event["type"] == "http.disconnect":
-                self.caller_gone.set()
+        reading = asyncio.ensure_future(self._incoming.read_chunk())
+        gone = asyncio.ensure_future(self.caller_gone.wait())
+        try:
+            await asyncio.wait((reading, gone), return_when=asyncio.FIRST_COMPLETED)
+            if not reading.done():
                 raise CallerGone
-            if event["body"]:
-                yield event["body"]
-            if not event.get("more_body"):
-                return
-
-    def watch_caller(self) -> None:
-        """Starts to watch for a disconnect of the caller; the body must have been read."""
-        if self._watch_task is None:
-            self._watch_task = asyncio.get_running_loop().create_task(self._watch_caller())
-
-    async def _watch_caller(self) -> None:
-        """Sets `caller_gone` when the caller closes its connection."""
-        while (await self._receive())["type"] != "http.disconnect":
-            pass
-        self.caller_gone.set()
-
-    def close(self) -> None:
-        """Stops watching for a disconnect of the caller."""
-        if self._watch_task is not None:
-            self._watch_task.cancel()
+            return reading.result()
+        finally:
+            reading.cancel()
+            gone.cancel()
 
     async def start_answer(self, status: int, headers: Headers) -> None:
-        """Sends the head of the answer."""
+        """Sends the head of the answer; the body is sent in chunks unless it has a length."""
         self.answer_started = True
-        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+        length: int | None = None
+        kept: Headers = []
+        for name, value in headers:
+            if name.lower() == b"content-length":
+                length = int(value)
+            if name.lower() != b"content-length" or self._incoming.method == b"HEAD":
+                kept.append((name, value))
+        if not self.caller_gone.is_set():
+            self._incoming.start_answer(status, kept, length)
 
     async def send_body(self, data: bytes, more: bool) -> None:
-        """Sends a chunk of the answer's body, waiting while the send buffer is full."""
-        await self._send({"type": "http.response.body", "body": data, "more_body": more})
+        """Sends a part of the answer's body, waiting while the send buffer is full."""
+        if self.caller_gone.is_set():
+            return
+        try:
+            if data and self._incoming.method != b"HEAD":
+                await self._incoming.send_chunk(data)
+        except ConnectionError:
+            self.caller_gone.set()
+            return
+        if not more:
+            self.answer_ended = True
+            self._incoming.finish_answer()
 
     async def send_fault(self, fault: Fault) -> None:
-        """Sends a fault as the answer; closes the connection if a part of the body is unread."""
+        """Sends a fault as the answer."""
         body = json.dumps(fault.body()).encode()
         headers = [
             (b"content-type", b"application/json"),
@@ -118,11 +119,5 @@
             (b"lycheepin-outcome", fault.answer.outcome.value.encode()),
             (b"lycheepin-error", fault.kind.value.encode()),
         ]
-        if not self.replayable and not self._is_body_read():
-            headers.append((b"connection", b"close"))
         await self.start_answer(fault.answer.status, headers)
         await self.send_body(body, more=False)
-
-    def _is_body_read(self) -> bool:
-        """Returns whether the whole body has been received."""
-        return self.body is not None or self._watch_task is not None
--- a/lycheepin/daemon/exchange.py
+++ b/lycheepin/daemon/exchange.py
@@ -17,6 +17,7 @@
     ConnectionPool,
 )
 from lycheepin.transport.headers import strip_hop_by_hop
+from lycheepin.transport.streaming import stream_body
 
 __all__ = [
     "SendResult",
@@ -135,9 +136,9 @@
             await connection.send_body(request.body)
     else:
         await connection.wait_for_continue(CONTINUE_TIMEOUT_S)
-        if not await _stream_body(connection, destination, request):
-            # The endpoint would read the next request as the rest of this body.
-            connection.close_after_use = True
+        is_chunked = request.content_length is None
+        pace = _Pace(destination.rate_limit_mbit) if destination.rate_limit_mbit else None
+        await stream_body(connection, request.read_chunk, is_chunked, pace)
     answer = await connection.head()
     refusal = _parse_refusal(answer)
     if refusal is None:
@@ -146,6 +147,21 @@
     return refusal
 
 
+class _Pace:
+    """Limits the rate of a body in Mbit/s."""
+
+    def __init__(self, rate_mbit: int) -> None:
+        self._rate_mbit = rate_mbit
+        self._started_s = asyncio.get_running_loop().time()
+        self._sent_bytes = 0
+
+    async def __call__(self, size: int) -> None:
+        """Waits until the next part may follow one of `size` bytes."""
+        self._sent_bytes += size
+        due_s = self._sent_bytes * BITS_PER_BYTE / (self._rate_mbit * BITS_PER_MBIT)
+        await asyncio.sleep(max(0.0, self._started_s + due_s - asyncio.get_running_loop().time()))
+
+
 def _parse_refusal(head: AnswerHead) -> NotRun | None:
     """Returns the refusal when the answer states that the request did not run, or None."""
     headers = {name.lower(): value for name, value in head.headers}
@@ -178,31 +194,6 @@
     return b"\r\n".join(parts) + b"\r\n\r\n"
 
 
-async def _stream_body(
-    connection: Connection, destination: Destination, request: CallerRequest
-) -> bool:
-    """Forwards the caller's body as it arrives; returns False if it is answered before its end."""
-    chunked = request.content_length is None
-    loop = asyncio.get_running_loop()
-    started_s = loop.time()
-    sent_bytes = 0
-    if connection.head_done:
-        return False
-    async for chunk in request.stream_body():
-        if connection.head_done:
-            return False
-        framed = b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk
-        await connection.send_body(framed)
-        sent_bytes += len(chunk)
-        if destination.rate_limit_mbit:
-            due_s = sent_bytes * BITS_PER_BYTE / (destination.rate_limit_mbit * BITS_PER_MBIT)
-            await asyncio.sleep(max(0.0, started_s + due_s - loop.time()))
-    if chunked:
-        await connection.send_body(b"0\r\n\r\n")
-    request.watch_caller()
-    return True
-
-
 async def relay_answer(
     connection_pool: ConnectionPool,
     answer: AnswerStarted,
--- a/lycheepin/daemon/process.py
+++ b/lycheepin/daemon/process.py
@@ -17,7 +17,7 @@
 from lycheepin.daemon.node import Node, new_incarnation
 from lycheepin.daemon.peers import PeerProtocol
 from lycheepin.daemon.requests import RequestHandler
-from lycheepin.daemon.server import HttpServer, build_server
+from lycheepin.daemon.server import HttpServer
 from lycheepin.generated.settings import DaemonSettings
 from lycheepin.sources.store import HttpStore
 from lycheepin.sources.vms import HttpVmListSource
@@ -48,7 +48,7 @@
         self._control_tasks = ControlTasks(self.node, self._peer_protocol, store, vm_list_source)
         api = DaemonApi(self.node, self._peer_protocol)
         changes = ChangeWriter(self.node, self._peer_protocol, store, self._http_client)
-        self._server: HttpServer = build_server(self.node, api, changes, self._handler)
+        self._server = HttpServer(self.node, api, changes, self._handler)
         self._stopping = asyncio.Event()
         self._aborting = asyncio.Event()
 
@@ -67,8 +67,8 @@
         transport, _ = await loop.create_datagram_endpoint(
             lambda: self._peer_protocol, local_addr=(settings.address, settings.port)
         )
-        server = loop.create_task(self._server.serve(sockets=[listener]))
         tasks = [
+            loop.create_task(self._server.serve(listener)),
             loop.create_task(self._peer_protocol.run()),
             loop.create_task(self._poll_periodically()),
             loop.create_task(self._log_counters()),
@@ -81,9 +81,7 @@
         status = await self._wait_for_end()
         for task in tasks:
             task.cancel()
-        self._server.should_exit = True
-        self._server.force_exit = status != EXIT_OK
-        await server
+        await self._server.close(at_once=status != EXIT_OK)
         transport.close()
         self._connection_pool.close()
         self._http_client.close()
--- a/lycheepin/daemon/requests.py
+++ b/lycheepin/daemon/requests.py
@@ -91,10 +91,9 @@
         except CallerGone:
             node.metrics.count("callers_gone")
         except TruncatedAnswer:
-            # The server closes the connection when this returns before the answer is complete.
+            # The server ends the connection when this returns before the answer is complete.
             node.metrics.count("answers_cut")
         finally:
-            request.close()
             node.in_flight -= 1
             if isinstance(context, RequestContext):
                 self.active_requests.remove(context.active_request)
--- a/lycheepin/daemon/server.py
+++ b/lycheepin/daemon/server.py
@@ -1,118 +1,102 @@
-"""The HTTP server of a daemon: strict framing, API routes and dispatch to the request handler."""
+"""The HTTP server of a daemon: its framing, its API routes and dispatch to the request handler."""
 
 from __future__ import annotations
 
+import asyncio
 import hmac
 import json
-from collections.abc import Awaitable, Callable, Generator
-from contextlib import contextmanager
+import socket
+from collections.abc import Awaitable, Callable
 from typing import Any
 from urllib.parse import unquote
 
-import uvicorn
 from blacksheep import Application, Content, Request, Response, Router
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from lycheepin.cluster.documents import CONFIGURATION, compress
 from lycheepin.cluster.member import encode_members
 from lycheepin.daemon.api import DaemonApi
+from lycheepin.daemon.asgi import answer_with_application
 from lycheepin.daemon.caller_request import CallerRequest
 from lycheepin.daemon.changes import ChangeWriter
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.requests import RequestHandler
 from lycheepin.errors import ErrorKind, Fault
+from lycheepin.steering.routes import CallerLimits
+from lycheepin.transport.incoming import IncomingRequest
+from lycheepin.transport.listener import Listener
 
-__all__ = ["HttpServer", "build_server"]
+__all__ = ["HttpServer"]
 
 API_PREFIX = "/_lycheepin/"
-MAX_HEAD_BYTES = 32 * 1024
-MAX_HEADERS = 100
-KEEP_ALIVE_S = 30
+# Limits on requests; their bodies are streamed, whatever their size.
+LIMITS = CallerLimits(
+    max_header_bytes=32 * 1024,
+    max_headers=101,
+    max_body_bytes=1 << 50,
+    header_timeout_s=10.0,
+    idle_timeout_s=30.0,
+)
+# Interval in seconds of the checks whether the answers of a server that closes are sent.
+CLOSE_CHECK_S = 0.02
 LOOPBACK_PREFIXES = ("127.", "::1")
 
 
-class OversizedHead(Exception):
-    """The head of a request has too many bytes or header fields."""
-
-
-class StrictProtocol(HttpToolsProtocol):
-    """HTTP protocol that refuses an oversized or ambiguous head with the outcome NOT_RUN."""
-
-    _head_bytes = 0
-    _head_fields = 0
-
-    def on_message_begin(self) -> None:
-        """Called by the parser at the start of a request; resets the counts of the head."""
-        self._head_bytes = 0
-        self._head_fields = 0
-        super().on_message_begin()
-
-    def on_url(self, url: bytes) -> None:
-        """Called by the parser."""
-        self._count_head_field(len(url))
-        super().on_url(url)
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Called by the parser."""
-        self._count_head_field(len(name) + len(value))
-        super().on_header(name, value)
-
-    def _count_head_field(self, size: int) -> None:
-        """Counts one field of the head; raises OversizedHead over a limit."""
-        self._head_bytes += size
-        self._head_fields += 1
-        if self._head_bytes > MAX_HEAD_BYTES or self._head_fields > MAX_HEADERS:
-            raise OversizedHead
-
-    def send_400_response(self, msg: str) -> None:
-        """Answers a request that could not be parsed and closes the connection."""
-        body = json.dumps(Fault(ErrorKind.BAD_FRAMING).body()).encode()
-        head = (
-            b"HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\n"
-            b"lycheepin-outcome: NOT_RUN\r\nlycheepin-error: bad_framing\r\n"
-            b"connection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
-        )
-        self.transport.write(head + body)
-        self.transport.close()
-
-
-class HttpServer(uvicorn.Server):
-    """A uvicorn server that does not install signal handlers."""
-
-    @contextmanager
-    def capture_signals(self) -> Generator[None, None, None]:
-        """Does nothing; the daemon handles signals."""
-        yield
-
-
-def build_server(
-    node: Node, api: DaemonApi, changes: ChangeWriter, handler: RequestHandler
-) -> HttpServer:
-    """Returns the server of a daemon, to be started with `serve(sockets=...)`."""
-    routes = build_routes(node, api, changes)
-
-    async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
-        if scope["path"].startswith(API_PREFIX):
-            await routes(scope, receive, send)
-        else:
-            await handler.handle(CallerRequest(scope, receive, send))
-
-    config = uvicorn.Config(
-        app,
-        loop="asyncio",
-        http=StrictProtocol,
-        ws="none",
-        lifespan="off",
-        log_config=None,
-        log_level="critical",
-        access_log=False,
-        server_header=False,
-        date_header=False,
-        proxy_headers=False,
-        timeout_keep_alive=KEEP_ALIVE_S,
-        timeout_graceful_shutdown=None,
-    )
-    return HttpServer(config)
+class HttpServer:
+    """The server of a daemon, for callers, operators and other daemons."""
+
+    def __init__(
+        self, node: Node, api: DaemonApi, changes: ChangeWriter, handler: RequestHandler
+    ) -> None:
+        self._node = node
+        self._routes = build_routes(node, api, changes)
+        self._handler = handler
+        self._listener = Listener(self._answer)
+        self._listener.limits = LIMITS
+        self._listener.build_refusal = _build_refusal
+        self._listener.on_error = lambda error: node.log.error("request failed: {!r}", error)
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def serve(self, listening: socket.socket) -> None:
+        """Serves connections of a listening socket; runs until cancelled."""
+        await self._listener.listen_on(listening)
+        await self._listener.close_expired_connections()
+
+    async def close(self, at_once: bool) -> None:
+        """Stops accepting connections; waits for the answers being sent unless `at_once`."""
+        self._listener.closing = True
+        self._listener.stop_listening()
+        self._listener.close_idle_connections()
+        while self._listener.is_busy and not at_once:
+            await asyncio.sleep(CLOSE_CHECK_S)
+        for connection in list(self._listener.connections):
+            connection.abort()
+
+    async def _answer(self, incoming: IncomingRequest) -> None:
+        """Answers one request."""
+        if incoming.path.startswith(API_PREFIX):
+            await answer_with_application(self._routes, incoming)
+            return
+        request = CallerRequest(incoming)
+        task = asyncio.ensure_future(self._handler.handle(request))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            request.caller_gone.set()
+            raise
+        if not request.answer_ended:
+            incoming.abort()
+
+
+def _build_refusal(status: int) -> bytes:
+    """Returns the answer to a request that could not be parsed."""
+    body = json.dumps(Fault(ErrorKind.BAD_FRAMING).body()).encode()
+    return (
+        b"HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\n"
+        b"lycheepin-outcome: NOT_RUN\r\nlycheepin-error: bad_framing\r\n"
+        b"connection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
+    ) + body
 
 
 def _json_response(value: Any) -> Response:
--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -21,6 +21,7 @@
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import strip_hop_by_hop
 from lycheepin.transport.incoming import BodyStart, IncomingRequest, RequestBody, WholeBody
+from lycheepin.transport.streaming import stream_body
 
 __all__ = ["AttemptOutcome", "AttemptRunner", "EndpointAnswer"]
 
@@ -162,7 +163,10 @@
             accept=matcher.accept,
         )
         if isinstance(body, BodyStart):
-            await _stream_body(connection, request)
+            is_chunked = request.header(b"content-length") is None
+            if is_chunked:
+                await connection.send_body(b"\r\n")
+            await stream_body(connection, request.read_chunk, is_chunked)
         head = await connection.head()
         connection.idle_limit_s = _read_idle_limit_s(head)
         if head.header(self._header_names.request_id) is None:
@@ -292,34 +296,6 @@
     return DEFAULT_IDLE_LIMIT_S
 
 
-async def _stream_body(connection: Connection, request: IncomingRequest) -> None:
-    """Forwards the rest of a long body until it ends or the endpoint answers."""
-    chunked = request.header(b"content-length") is None
-    if chunked:
-        await connection.send_body(b"\r\n")
-    answered = asyncio.ensure_future(connection.wait_for_head())
-    try:
-        while (chunk := await _read_chunk(request, answered)) is not None:
-            if not chunk:
-                if chunked:
-                    await connection.send_body(b"0\r\n\r\n")
-                return
-            await connection.send_body(b"%x\r\n%b\r\n" % (len(chunk), chunk) if chunked else chunk)
-    finally:
-        answered.cancel()
-    connection.close_after_use = True
-
-
-async def _read_chunk(request: IncomingRequest, answered: asyncio.Future[None]) -> bytes | None:
-    """Returns the next part of a body, empty at its end; None if the endpoint answers before."""
-    reading = asyncio.ensure_future(request.read_chunk())
-    try:
-        await asyncio.wait((reading, answered), return_when=asyncio.FIRST_COMPLETED)
-        return reading.result() if reading.done() and not answered.done() else None
-    finally:
-        reading.cancel()
-
-
 async def _drain_body(connection: Connection) -> None:
     """Reads and discards a body, so that the connection can be reused."""
     async for _ in connection.body():
--- a/lycheepin/steering/routes.py
+++ b/lycheepin/steering/routes.py
@@ -74,12 +74,16 @@
 
 @dataclass(frozen=True)
 class CallerLimits:
-    """Limits on the requests of callers in bytes, and on their connections in seconds."""
+    """Limits on the requests of callers in bytes, and on their connections in seconds.
+
+    `max_headers` is the number of headers and parts of the target.
+    """
 
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 64 * 1024 * 1024
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
+    max_headers: int = 65_536
 
 
 @dataclass(frozen=True)
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -16,7 +16,7 @@
 
 from lycheepin.steering.routes import CallerLimits
 from lycheepin.transport.headers import WHITESPACE
-from lycheepin.transport.incoming import REASONS, IncomingRequest
+from lycheepin.transport.incoming import IncomingRequest
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 
 __all__ = ["ELEMENT_MARGIN_BYTES", "CallerConnection", "Handler", "Server"]
@@ -46,6 +46,7 @@
     limits: CallerLimits
     in_flight: int
     closing: bool
+    build_refusal: Callable[[int], bytes]
     on_refused: Callable[[int], None]
     on_error: Callable[[Exception], None]
 
@@ -70,7 +71,7 @@
         self._closing = False
         self._refused = False
         self._repeats_head = False
-        self._head_bytes = 0
+        self._head_bytes = self._head_fields = 0
         self._body_bytes = 0
         self.head_since_s: float | None = None
         self.idle_since_s = self._loop.time()
@@ -140,14 +141,14 @@
         self._repeats_head = True
         self._parser.feed_data(b"\r\n".join(head) + b"\r\n\r\n")
         self._repeats_head = False
-        self._head_bytes = 0
+        self._head_bytes = self._head_fields = 0
 
     def on_message_begin(self) -> None:
         """Called by the parser at the start of a request."""
         if self._repeats_head:
             return
         self._receiving = None
-        self._head_bytes = 0
+        self._head_bytes = self._head_fields = 0
         self.head_since_s = self._loop.time()
         self._parsing = IncomingRequest(self, self.head_since_s)
         limits = self._server.limits
@@ -173,9 +174,11 @@
         self._parsing.headers_by_name[name.lower()] = value
 
     def _count_head_bytes(self, size: int) -> None:
-        """Adds to the size of the head; refuses the request if it is too large."""
+        """Adds a field to the size of the head; refuses the request if it is too large."""
+        limits = self._server.limits
         self._head_bytes += size
-        if self._head_bytes > self._server.limits.max_header_bytes:
+        self._head_fields += 1
+        if self._head_bytes > limits.max_header_bytes or self._head_fields > limits.max_headers:
             self.refuse_request(431)
 
     def on_headers_complete(self) -> None:
@@ -186,9 +189,10 @@
         request = self._parsing
         request.method = self._parser.get_method()
         request.keep_alive = self._parser.should_keep_alive()
+        request.awaits_continue = request.header(b"expect") is not None
         self._receiving = request
         self._body_bytes = 0
-        self._head_bytes = 0
+        self._head_bytes = self._head_fields = 0
         self.head_since_s = None
         self._queue.append(request)
         if len(self._queue) > MAX_PIPELINED:
@@ -294,10 +298,7 @@
             self._closing = True
             self.abort()
             return
-        reason = REASONS[status]
-        self.write(
-            b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, reason)
-        )
+        self.write(self._server.build_refusal(status))
         self._close_after_answer()
 
     @property
@@ -329,14 +330,9 @@
             self._transport.pause_reading()
 
     def _start_next(self) -> None:
-        """Starts to handle the next queued request, unless one is being handled.
-
-        A caller that waits to be asked for the body is asked now, after the answers before.
-        """
+        """Starts to handle the next queued request, unless one is being handled."""
         if self._current is None and self._queue:
             self._current = self._queue.popleft()
-            if self._current.header(b"expect") is not None and not self._current.body_complete:
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             self._task = self._loop.create_task(self._handle_request(self._current))
 
     async def _handle_request(self, request: IncomingRequest) -> None:
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -89,6 +89,8 @@
         self.body_complete = False
         self.answered = False
         self.keep_alive = True
+        self.awaits_continue = False
+        self._chunked = False
 
     def header(self, name: bytes) -> bytes | None:
         """Returns the value of a header by its lower-case name, or None."""
@@ -125,10 +127,16 @@
         self._body_changed.set()
 
     async def read_chunk(self) -> bytes:
-        """Returns the next part of the body; empty at the end of the body."""
+        """Returns the next part of the body; empty at the end of the body.
+
+        A caller that waits to be asked for the body is asked when it is first needed.
+        """
         while not self._chunks:
             if self.body_complete:
                 return b""
+            if self.awaits_continue:
+                self.awaits_continue = False
+                self._connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
             self._body_changed.clear()
             await self._body_changed.wait()
         chunk = self._chunks.popleft()
@@ -161,24 +169,27 @@
         The answer to HEAD has no body, and its headers may name the length of the one for GET.
         """
         self.answered = True
+        has_body = self.method != b"HEAD" and status not in _NO_BODY_STATUSES
+        self._chunked = has_body and length is None
         lines = [b"HTTP/1.1 %d %b" % (status, REASONS.get(status, b"Status"))]
         lines += [name + b": " + value for name, value in headers]
-        if length is None:
+        if self._chunked:
             lines.append(b"Transfer-Encoding: chunked")
-        elif self.method != b"HEAD" and status not in _NO_BODY_STATUSES:
-            lines.append(b"Content-Length: %d" % length)
+        elif has_body:
+            lines.append(b"Content-Length: %d" % (length or 0))
         if self._connection.closes_after(self):
             lines.append(b"Connection: close")
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
     async def send_chunk(self, data: bytes) -> None:
-        """Sends one chunk of a chunked answer; waits while the caller reads slowly."""
-        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
+        """Sends a part of an answer's body; waits while the caller reads slowly."""
+        self._connection.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
         await self._connection.drain()
 
     def finish_answer(self) -> None:
-        """Ends a chunked answer."""
-        self._connection.write(b"0\r\n\r\n")
+        """Ends an answer that was sent in parts."""
+        if self._chunked:
+            self._connection.write(b"0\r\n\r\n")
         self._connection.end_answer(self)
 
     def abort(self) -> None:
--- a/lycheepin/transport/listener.py
+++ b/lycheepin/transport/listener.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 
 from lycheepin.steering.routes import CallerLimits
 from lycheepin.transport.caller_connection import CallerConnection, Handler
+from lycheepin.transport.incoming import REASONS
 
 __all__ = ["Listener"]
 
@@ -16,6 +18,12 @@
 TIMEOUT_CHECK_S = 0.25
 
 
+def build_refusal(status: int) -> bytes:
+    """Returns the answer to an invalid request, after which its connection is closed."""
+    reason = REASONS[status]
+    return b"HTTP/1.1 %d %b\r\nContent-Length: 0\r\nConnection: close\r\n\r\n" % (status, reason)
+
+
 class Listener:
     """Listening sockets, their connections and the handler of their requests."""
 
@@ -25,6 +33,7 @@
         self.limits = CallerLimits()
         self.in_flight = 0
         self.closing = False
+        self.build_refusal: Callable[[int], bytes] = build_refusal
         self.on_refused: Callable[[int], None] = lambda status: None
         self.on_error: Callable[[Exception], None] = lambda error: None
         self._servers: list[asyncio.Server] = []
@@ -37,6 +46,14 @@
         )
         self._servers.append(server)
 
+    async def listen_on(self, listening: socket.socket) -> None:
+        """Starts to accept connections on a socket that listens already."""
+        loop = asyncio.get_running_loop()
+        server = await loop.create_server(
+            lambda: CallerConnection(self), sock=listening, backlog=BACKLOG
+        )
+        self._servers.append(server)
+
     def stop_listening(self) -> None:
         """Stops accepting connections; open connections are kept."""
         for server in self._servers:
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -21,7 +21,7 @@
 from lycheepin.daemon.peers import PeerProtocol
 from lycheepin.daemon.process import listen
 from lycheepin.daemon.requests import RequestHandler
-from lycheepin.daemon.server import build_server
+from lycheepin.daemon.server import HttpServer
 from lycheepin.generated.settings import Address as AddressSetting
 from lycheepin.generated.settings import DaemonSettings
 from lycheepin.names import Address, Incarnation, Resource, Revision
@@ -105,10 +105,8 @@
         changes = ChangeWriter(
             self.node, peer_protocol, HttpStore(http_client, UNUSED_ADDRESS), http_client
         )
-        self._server = build_server(self.node, api, changes, handler)
-        self._server_task = asyncio.ensure_future(self._server.serve(sockets=[listener]))
-        while not self._server.started:
-            await asyncio.sleep(0.01)
+        self._server = HttpServer(self.node, api, changes, handler)
+        self._server_task = asyncio.ensure_future(self._server.serve(listener))
         self._poll_task = asyncio.ensure_future(self._poll(handler))
         return self
 
@@ -119,9 +117,8 @@
             await asyncio.sleep(0.02)
 
     async def __aexit__(self, *error: object) -> None:
-        self._server.should_exit = True
-        self._server.force_exit = True
-        await self._server_task
+        self._server_task.cancel()
+        await self._server.close(at_once=True)
         self._poll_task.cancel()
         self._pool.close()
         self._endpoint.close()
