Own interface: a request that crashes endpoints is refused after three crashes

Cause: nothing outlived one try.

Change: detection, registry and fingerprints of the gateway move to lycheepin/quarantine, behind small protocols instead of the gateway's endpoints and log; the own interface uses them.

With the quarantine out of reach the first one fails.

--- a/lycheepin/daemon/caller_request.py
+++ b/lycheepin/daemon/caller_request.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import json
+from collections.abc import Iterable
 from urllib.parse import unquote
 
 from lycheepin.errors import Fault
+from lycheepin.quarantine.fingerprints import fingerprint_request
+from lycheepin.steering.suspects import Fingerprint
 from lycheepin.transport.headers import Headers
 from lycheepin.transport.incoming import IncomingRequest
 
@@ -50,6 +53,12 @@
             return None
         return int(self.header(b"content-length") or 0)
 
+    def fingerprint(self, identifying: Iterable[bytes]) -> Fingerprint:
+        """Returns what identifies equal requests; of a body that is not buffered, its length."""
+        return fingerprint_request(
+            self._incoming, self.body or b"", (*identifying, b"content-length")
+        )
+
     @property
     def replayable(self) -> bool:
         """Whether the request can still be sent from the start of its body."""
--- a/lycheepin/daemon/peers.py
+++ b/lycheepin/daemon/peers.py
@@ -20,12 +20,14 @@
 from lycheepin.cluster.wire import decode_envelope, encode_envelope, peer_token
 from lycheepin.daemon.lending import LoanManager
 from lycheepin.daemon.node import Node
+from lycheepin.daemon.suspicions import SuspicionSpreader
 from lycheepin.generated.messages import (
     DocumentPush,
     Envelope,
     HoldingReport,
 )
 from lycheepin.names import Address, Incarnation, Revision
+from lycheepin.quarantine.exchange import SuspicionExchange
 from lycheepin.transport.calls import CallAnswer, HttpClient
 
 __all__ = ["PeerProtocol", "ReceivedReport"]
@@ -48,7 +50,7 @@
 class PeerProtocol(asyncio.DatagramProtocol):
     """Exchanges messages with the other daemons over a UDP socket."""
 
-    def __init__(self, node: Node, http_client: HttpClient) -> None:
+    def __init__(self, node: Node, http_client: HttpClient, suspicions: SuspicionExchange) -> None:
         self._node = node
         self._http_client = http_client
         self._transport: asyncio.DatagramTransport | None = None
@@ -59,6 +61,7 @@
         self._last_report_s = 0.0
         self._last_loan_update_s = 0.0
         self._loans = LoanManager(node, self._send_message, self.cell_members)
+        self._suspicions = SuspicionSpreader(node, suspicions, self._send_message)
         self.reports_by_holder: dict[Incarnation, ReceivedReport] = {}
 
     def connection_made(self, transport: Any) -> None:
@@ -159,6 +162,8 @@
                 self._loans.receive_repayment(repayment, address, port)
             case Envelope(repayment_receipt=receipt) if receipt is not None:
                 self._loans.receive_repayment_receipt(receipt, sender)
+            case Envelope(suspicion=notice) if notice is not None:
+                self._suspicions.receive(notice)
 
     def _record_member_changes(self) -> None:
         """Records membership changes as events and metrics."""
--- a/lycheepin/daemon/process.py
+++ b/lycheepin/daemon/process.py
@@ -18,6 +18,7 @@
 from lycheepin.daemon.peers import PeerProtocol
 from lycheepin.daemon.requests import RequestHandler
 from lycheepin.daemon.server import HttpServer
+from lycheepin.daemon.suspicions import build_exchange
 from lycheepin.generated.settings import DaemonSettings
 from lycheepin.sources.store import HttpStore
 from lycheepin.sources.vms import HttpVmListSource
@@ -41,8 +42,9 @@
         self.node = Node(settings, clock, new_incarnation(clock))
         self._http_client = HttpClient(settings.address)
         self._connection_pool = ConnectionPool(settings.address)
-        self._handler = RequestHandler(self.node, self._connection_pool)
-        self._peer_protocol = PeerProtocol(self.node, self._http_client)
+        suspicions = build_exchange(self.node, self._connection_pool)
+        self._handler = RequestHandler(self.node, self._connection_pool, suspicions)
+        self._peer_protocol = PeerProtocol(self.node, self._http_client, suspicions)
         store = HttpStore(self._http_client, settings.store)
         vm_list_source = HttpVmListSource(self._http_client, settings.vm_list)
         self._control_tasks = ControlTasks(self.node, self._peer_protocol, store, vm_list_source)
--- a/lycheepin/daemon/request_parser.py
+++ b/lycheepin/daemon/request_parser.py
@@ -12,6 +12,7 @@
 from lycheepin.names import FleetName, QualifiedName, RegionName, ServiceName
 from lycheepin.steering.admission import Ticket
 from lycheepin.steering.request_ids import RequestId
+from lycheepin.steering.suspects import Fingerprint
 
 __all__ = [
     "DEADLINE_HEADER",
@@ -49,8 +50,8 @@
     """A parsed request and the state of its handling.
 
     `hop` is the value of HOP_HEADER, or empty for a request that no daemon has forwarded.
-    `keep_answer` is true if the answer is stored for repeats of the request, and `sent` if an
-    attempt was started.
+    `fingerprint` is the same for all requests like it. `keep_answer` is true if the answer is
+    stored for repeats of the request, and `sent` if an attempt was started.
     """
 
     def __init__(
@@ -67,6 +68,7 @@
         self.ticket = ticket
         self.hop = hop
         self.request_id = request_id
+        self.fingerprint = Fingerprint("")
         self.keep_answer = False
         self.sent = False
         self.active_request = ActiveRequest(
--- a/lycheepin/daemon/requests.py
+++ b/lycheepin/daemon/requests.py
@@ -20,18 +20,23 @@
 from lycheepin.daemon.forwarding import Forwarder
 from lycheepin.daemon.node import Node
 from lycheepin.daemon.request_parser import (
+    FLEET_HEADER,
     HOP_HOLDER,
     HOP_OWNER,
     HOP_SHIFT,
     ID_HEADER,
+    SERVICE_HEADER,
     RequestContext,
     RequestParser,
 )
+from lycheepin.daemon.suspicions import WatchedEndpoint
 from lycheepin.errors import ErrorKind, Fault, Outcome
 from lycheepin.names import RegionName, RequestKey, ServiceName
+from lycheepin.quarantine.exchange import SuspicionExchange
 from lycheepin.sources.vms import VmState
 from lycheepin.steering.admission import AdmissionRefusal, Shift, Start, Wait
 from lycheepin.steering.endpoints import ExchangeResult
+from lycheepin.steering.progress import FIRST_FAILURE_STATUS
 from lycheepin.steering.request_ids import (
     ForwardToOwner,
     Replay,
@@ -57,8 +62,11 @@
 class RequestHandler:
     """Handles requests of callers and requests forwarded by other daemons."""
 
-    def __init__(self, node: Node, connection_pool: ConnectionPool) -> None:
+    def __init__(
+        self, node: Node, connection_pool: ConnectionPool, suspicions: SuspicionExchange
+    ) -> None:
         self._node = node
+        self._suspicions = suspicions
         self._connection_pool = connection_pool
         self._pending_admissions: dict[int, asyncio.Future[Start | AdmissionRefusal]] = {}
         self._run_ended: dict[RequestKey, asyncio.Event] = {}
@@ -80,6 +88,7 @@
                 return
             self.active_requests.add(context.active_request)
             await request.read_small_body()
+            context.fingerprint = request.fingerprint((FLEET_HEADER, SERVICE_HEADER))
             if (
                 context.work_class.protected
                 and context.request_id
@@ -197,6 +206,9 @@
         last_fault: Fault = Fault(ErrorKind.NO_CAPACITY)
         unknown_fault: Fault | None = None
         for _ in range(MAX_ATTEMPTS):
+            if self._suspicions.find_quarantine(context.fingerprint) is not None:
+                last_fault = Fault(ErrorKind.QUARANTINED)
+                break
             result = await self._make_attempt(context, request_key)
             match result:
                 case None:
@@ -214,6 +226,8 @@
                     unknown_fault = fault
                     if context.work_class.protected or not self._may_retry(context):
                         break
+                    if not self._suspicions.may_resend(context.fingerprint):
+                        break
             if self._node.clock.monotonic() >= context.ticket.deadline_s:
                 break
             self._node.metrics.count("retries")
@@ -308,6 +322,7 @@
         """Runs a request at the endpoint of its token; returns None when it was answered."""
         node = self._node
         endpoint = node.endpoints[start.endpoint]
+        watched = WatchedEndpoint(endpoint, node.clock.wall_ms())
         context.active_request.endpoint = start.endpoint
         started_s = node.clock.monotonic()
         headers: list[tuple[bytes, bytes]] = []
@@ -330,19 +345,23 @@
                     ), False
                     node.metrics.count("sheds" if refused else "connect_failures")
                     return send_result
-                case OutcomeUnknown():
+                case OutcomeUnknown(fault):
                     result = ExchangeResult.FAILED
+                    if fault.kind is ErrorKind.ENDPOINT_BROKE:
+                        self._suspicions.detector.observe_break(watched, context.fingerprint)
                     return send_result
-                case AnswerStarted():
+                case AnswerStarted(head=head):
                     await self._relay_answer(context, send_result, request_key)
                     result, may_still_run = ExchangeResult.ANSWERED, False
+                    if head.status < FIRST_FAILURE_STATUS:
+                        self._suspicions.observe_served(context.fingerprint)
                     return None
         except TruncatedAnswer:
-            result = (
-                ExchangeResult.CANCELLED
-                if context.request.caller_gone.is_set()
-                else ExchangeResult.FAILED
-            )
+            if context.request.caller_gone.is_set():
+                result = ExchangeResult.CANCELLED
+            else:
+                result = ExchangeResult.FAILED
+                self._suspicions.detector.observe_break(watched, context.fingerprint)
             raise
         finally:
             elapsed_s = node.clock.monotonic() - started_s
--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -211,9 +211,8 @@
 
         One that leaves as planned may end after a whole answer.
         """
-        record = endpoint.record
-        if not record.draining and not endpoint.removed:
-            await self._pool.check_end(record.address, record.port, connection)
+        if not endpoint.is_leaving:
+            await self._pool.check_end(endpoint.address, endpoint.port, connection)
 
     def _observe_load(self, endpoint: Endpoint, head: AnswerHead) -> bool:
         """Records the load that an answer reports; returns whether all slots were in use.
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -20,9 +20,9 @@
 from lycheepin.gateway.request_handler import RequestHandler
 from lycheepin.gateway.request_log import RequestLog
 from lycheepin.gateway.settings import GatewaySettings
-from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
 from lycheepin.names import RegionName, ZoneName
+from lycheepin.quarantine.exchange import SuspicionExchange
 from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.draining import DrainSchedule
@@ -95,7 +95,11 @@
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
         self.suspects = SuspectRegistry(carriers.is_chosen)
         self.suspicions = SuspicionExchange(
-            settings.name, self.suspects, self.registry, self._pool, self.log
+            settings.name,
+            self.suspects,
+            self.registry.observe_crash,
+            self._pool,
+            self.log.write,
         )
         attempt_runner = AttemptRunner(
             self.registry, self._pool, platform.header_names, self.rate_limits, self.log
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -9,11 +9,11 @@
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.gateway.fingerprints import fingerprint_request
 from lycheepin.gateway.request_log import RequestLog
-from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
+from lycheepin.quarantine.exchange import SuspicionExchange
+from lycheepin.quarantine.fingerprints import fingerprint_request
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
 from lycheepin.steering.dispatch import (
     MIN_RETRY_AFTER_S,
--- a/lycheepin/gateway/crash_detector.py
+++ b/lycheepin/quarantine/detector.py
@@ -7,18 +7,40 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import Protocol
 
-from lycheepin.steering.endpoint import Endpoint, EndpointProcess
+from lycheepin.names import Address
+from lycheepin.steering.endpoint import EndpointProcess
 from lycheepin.steering.suspects import Fingerprint
 from lycheepin.transport.connection import ConnectionPool
 
-__all__ = ["CrashDetector"]
+__all__ = ["CrashDetector", "RunningEndpoint"]
 
 # Time in seconds for which a broken connection is remembered while its endpoint seems to run: it
 # may have been restarted at once.
 BREAK_MEMORY_S = 1.0
 
 
+class RunningEndpoint(Protocol):
+    """An endpoint that requests are sent to."""
+
+    @property
+    def process(self) -> EndpointProcess:
+        """The process that it runs in."""
+
+    @property
+    def address(self) -> Address:
+        """The address that it listens on."""
+
+    @property
+    def port(self) -> int:
+        """The port that it listens on."""
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether it ends as planned, or is known to have ended."""
+
+
 class CrashDetector:
     """Finds out whether an endpoint has crashed after a connection to it broke.
 
@@ -37,20 +59,19 @@
         self._broken: dict[EndpointProcess, dict[Fingerprint, float]] = {}
         self._checks: dict[EndpointProcess, asyncio.Task[None]] = {}
 
-    def observe_break(self, endpoint: Endpoint, fingerprint: Fingerprint) -> None:
+    def observe_break(self, endpoint: RunningEndpoint, fingerprint: Fingerprint) -> None:
         """Records a connection that broke under a request, and checks the endpoint."""
-        record = endpoint.record
-        if record.draining or endpoint.removed:
+        if endpoint.is_leaving:
             return
-        process = record.process
+        process = endpoint.process
         loop = asyncio.get_running_loop()
         self._broken.setdefault(process, {})[fingerprint] = loop.time()
         if process not in self._checks:
             self._checks[process] = loop.create_task(self._check_endpoint(endpoint, process))
 
-    def observe_end(self, endpoint: Endpoint) -> None:
+    def observe_end(self, endpoint: RunningEndpoint) -> None:
         """Records that an endpoint refused a connection, or that another one has its address."""
-        process = endpoint.record.process
+        process = endpoint.process
         self._forget_breaks(process)
         fingerprints = self._broken.pop(process, None)
         if fingerprints:
@@ -61,14 +82,13 @@
         for task in self._checks.values():
             task.cancel()
 
-    async def _check_endpoint(self, endpoint: Endpoint, process: EndpointProcess) -> None:
+    async def _check_endpoint(self, endpoint: RunningEndpoint, process: EndpointProcess) -> None:
         """Finds out whether an endpoint still accepts connections after the latest break."""
         loop = asyncio.get_running_loop()
-        record = endpoint.record
         try:
             while True:
                 started_s = loop.time()
-                if await self._pool.is_refused(record.address, record.port):
+                if await self._pool.is_refused(endpoint.address, endpoint.port):
                     self.observe_end(endpoint)
                     return
                 if max(self._broken.get(process, {}).values(), default=0.0) <= started_s:
--- a/lycheepin/gateway/suspicions.py
+++ b/lycheepin/quarantine/exchange.py
@@ -3,13 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol
 
-from lycheepin.gateway.crash_detector import CrashDetector
-from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.names import DaemonName
+from lycheepin.quarantine.detector import CrashDetector
 from lycheepin.steering.endpoint import EndpointProcess
-from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.spreading import spread_fraction
 from lycheepin.steering.suspects import (
     CRASHES_TO_SEND_ONCE,
@@ -22,6 +21,8 @@
 
 __all__ = ["Publisher", "SuspicionExchange"]
 
+WriteLog = Callable[..., Any]
+
 # Time in seconds over which daemons spread the refutations of a suspicion, so that few write one.
 REFUTATION_SPREAD_S = 2.0
 
@@ -39,21 +40,22 @@
 class SuspicionExchange:
     """What this daemon suspects, from its own observations and from those of the others.
 
-    `publisher` is None until the platform provides one.
+    `exclude_endpoint` is called with a process that crashed and the time in seconds, and
+    `write_log` with the name of an event and its fields. `publisher` is None until there is one.
     """
 
     def __init__(
         self,
         own: DaemonName,
         suspects: SuspectRegistry,
-        registry: EndpointRegistry,
+        exclude_endpoint: Callable[[EndpointProcess, float], None],
         pool: ConnectionPool,
-        log: DecisionLog,
+        write_log: WriteLog,
     ) -> None:
         self._own = own
         self._suspects = suspects
-        self._registry = registry
-        self._log = log
+        self._exclude_endpoint = exclude_endpoint
+        self._write_log = write_log
         self.detector = CrashDetector(pool, self._report_crash)
         self.publisher: Publisher | None = None
 
@@ -65,7 +67,7 @@
             for suspicion in quarantined.to_repeat:
                 self._publish(suspicion)
         elif crashes := self._suspects.count_crashes(fingerprint):
-            self._log.write("suspect_sent", fingerprint=fingerprint, crashes=crashes)
+            self._write_log("suspect_sent", fingerprint=fingerprint, crashes=crashes)
         return quarantined
 
     def may_resend(self, fingerprint: Fingerprint) -> bool:
@@ -77,7 +79,7 @@
         now_s = asyncio.get_running_loop().time()
         for suspicion in self._suspects.observe_served(fingerprint, now_s):
             self._publish(suspicion)
-            self._log.write("suspect_served", fingerprint=fingerprint)
+            self._write_log("suspect_served", fingerprint=fingerprint)
 
     def apply_suspicion(self, suspicion: Suspicion) -> None:
         """Applies what a daemon has written about a suspicion."""
@@ -92,14 +94,14 @@
         ):
             self._refute_spread(suspicion)
         elif self._suspects.observe_crash(suspicion, now_s):
-            self._registry.observe_crash(suspicion.process, now_s)
+            self._exclude_endpoint(suspicion.process, now_s)
             self._log_suspicion(suspicion, "peer")
 
     def _report_crash(self, process: EndpointProcess, fingerprints: frozenset[Fingerprint]) -> None:
         """Suspects the requests that this daemon had at an endpoint that crashed."""
         now_s = asyncio.get_running_loop().time()
-        self._registry.observe_crash(process, now_s)
-        self._log.write("endpoint_crashed", endpoint=process.id, requests=len(fingerprints))
+        self._exclude_endpoint(process, now_s)
+        self._write_log("endpoint_crashed", endpoint=process.id, requests=len(fingerprints))
         for fingerprint in sorted(fingerprints):
             suspicion = Suspicion(fingerprint, process)
             if self._suspects.was_served(fingerprint, now_s):
@@ -123,7 +125,7 @@
         """Logs a new suspicion; one request that was in one crash is of little interest."""
         crashes = self._suspects.count_crashes(suspicion.fingerprint)
         if crashes >= CRASHES_TO_SEND_ONCE:
-            self._log.write(
+            self._write_log(
                 "suspect",
                 fingerprint=suspicion.fingerprint,
                 endpoint=suspicion.process.id,
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -100,6 +100,26 @@
         """Prepares the hash of the endpoint, which placement adds the keys of objects to."""
         self.id_hash = hash_endpoint(self.record.id)
 
+    @property
+    def process(self) -> EndpointProcess:
+        """The process that the endpoint runs in."""
+        return self.record.process
+
+    @property
+    def address(self) -> Address:
+        """The address that the endpoint listens on."""
+        return self.record.address
+
+    @property
+    def port(self) -> int:
+        """The port that the endpoint listens on."""
+        return self.record.port
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the endpoint ends as planned, or is known to have ended."""
+        return self.record.draining or self.removed
+
     def start_request(self, now_s: float) -> None:
         """Counts a request that is sent to the endpoint."""
         if self.in_flight == 0:
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -85,6 +85,16 @@
     2: i64 borrower,
 }
 
+// A request under which an endpoint crashed, or was served after all. `relayed` is set on its way
+// within a cell, so that it is told on once.
+struct SuspicionNotice {
+    1: string fingerprint,
+    2: string endpoint,
+    3: i64 started_ms,
+    4: bool refuted,
+    5: bool relayed,
+}
+
 // One datagram: the sender's stamp and process, and exactly one body.
 struct Envelope {
     1: i64 stamp,
@@ -97,6 +107,7 @@
     8: optional Repayment repayment,
     9: optional RepaymentReceipt repayment_receipt,
     10: optional LoanRequest loan_request,
+    11: optional SuspicionNotice suspicion,
 }
 
 // One key of the platform's store, or its removal, with the revision of its change.
--- a/tests/daemon/test_peers.py
+++ b/tests/daemon/test_peers.py
@@ -4,9 +4,11 @@
 
 from lycheepin.cluster.wire import encode_envelope
 from lycheepin.daemon.peers import PeerProtocol
+from lycheepin.daemon.suspicions import build_exchange
 from lycheepin.generated.messages import Envelope, HoldingReport
 from lycheepin.names import Address, Incarnation
 from lycheepin.transport.calls import HttpClient
+from lycheepin.transport.connection import ConnectionPool
 from tests.daemon.test_lending import make_node
 
 SENDER = ("127.0.0.2", 1)
@@ -15,7 +17,8 @@
 class HoldingReports(unittest.IsolatedAsyncioTestCase):
     async def test_reports_of_a_process_that_has_ended_are_forgotten(self) -> None:
         node, sender = make_node(1), make_node(2)
-        protocol = PeerProtocol(node, HttpClient(Address("127.0.0.1")))
+        exchange = build_exchange(node, ConnectionPool(Address("127.0.0.1")))
+        protocol = PeerProtocol(node, HttpClient(Address("127.0.0.1")), exchange)
         node.membership.apply_records([sender.membership.local_member.to_record()], 0.0)
         report = Envelope(1, sender.incarnation, report=HoldingReport(1))
         datagram = encode_envelope(report, node.peer_key)
--- a/tests/daemon/test_requests.py
+++ b/tests/daemon/test_requests.py
@@ -22,6 +22,7 @@
 from lycheepin.daemon.process import listen
 from lycheepin.daemon.requests import RequestHandler
 from lycheepin.daemon.server import HttpServer
+from lycheepin.daemon.suspicions import build_exchange
 from lycheepin.generated.settings import Address as AddressSetting
 from lycheepin.generated.settings import DaemonSettings
 from lycheepin.names import Address, Incarnation, Resource, Revision
@@ -89,7 +90,7 @@
 
     async def __aenter__(self) -> "DaemonFixture":
         self._endpoint = await asyncio.start_server(self._accept, HOST, 0)
-        port = self._endpoint.sockets[0].getsockname()[1]
+        self._endpoint_port = port = self._endpoint.sockets[0].getsockname()[1]
         listener = listen(HOST, 0)
         self.port = listener.getsockname()[1]
         settings = DaemonSettings(
@@ -99,8 +100,9 @@
         load_documents(self.node, Address(HOST), port, (Incarnation(5),))
         self._pool = ConnectionPool(HOST)
         http_client = HttpClient(HOST)
-        peer_protocol = PeerProtocol(self.node, http_client)
-        handler = RequestHandler(self.node, self._pool)
+        suspicions = build_exchange(self.node, self._pool)
+        peer_protocol = PeerProtocol(self.node, http_client, suspicions)
+        handler = RequestHandler(self.node, self._pool, suspicions)
         api = DaemonApi(self.node, peer_protocol)
         changes = ChangeWriter(
             self.node, peer_protocol, HttpStore(http_client, UNUSED_ADDRESS), http_client
@@ -127,6 +129,10 @@
         """Refuses further connections to the endpoint."""
         self._endpoint.close()
 
+    async def restart_endpoint(self) -> None:
+        """Accepts connections at the endpoint's address again."""
+        self._endpoint = await asyncio.start_server(self._accept, HOST, self._endpoint_port)
+
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers all requests of a connection with the reply scripted for it."""
         reply = self.replies[min(self.connections, len(self.replies) - 1)]
--- a/tests/gateway/test_suspicions.py
+++ b/tests/quarantine/test_exchange.py
@@ -7,8 +7,8 @@
 from logbook import NullHandler
 
 from lycheepin.gateway.decisions import DecisionLog
-from lycheepin.gateway.suspicions import SuspicionExchange
 from lycheepin.names import DaemonName, EndpointId
+from lycheepin.quarantine.exchange import SuspicionExchange
 from lycheepin.steering import suspects
 from lycheepin.steering.endpoint import Endpoint, EndpointProcess
 from lycheepin.steering.fleet import EndpointRegistry
@@ -51,9 +51,9 @@
         self.exchange = SuspicionExchange(
             DaemonName("own"),
             self.suspects,
-            self.registry,
+            self.registry.observe_crash,
             ConnectionPool(HOST),
-            DecisionLog("own", time.monotonic),
+            DecisionLog("own", time.monotonic).write,
         )
         self.exchange.publisher = self.publisher
 
--- a/tests/gateway/test_fingerprints.py
+++ b/tests/quarantine/test_fingerprints.py
@@ -1,6 +1,6 @@
 import unittest
 
-from lycheepin.gateway.fingerprints import fingerprint_request
+from lycheepin.quarantine.fingerprints import fingerprint_request
 from lycheepin.steering.suspects import Fingerprint
 from lycheepin.transport.incoming import MAX_BUFFERED_BODY_BYTES, IncomingRequest
 from tests.gateway.connections import UnusedConnection
