A target that names its host is sent on as a path, with that host

Change: the host moves from the target to the header when the head has arrived.

Test: test_host_and_target_are_read_in_each_form_that_the_protocol_allows now wants the path at the endpoint, and a header that differs from the target's host replaced; both failed on the code before.

--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -188,6 +188,7 @@
             return
         request = self._parsing
         request.method = self._parser.get_method()
+        request.remove_host_from_target()
         request.keep_alive = self._parser.should_keep_alive()
         request.awaits_continue = request.header(b"expect") is not None
         self._receiving = request
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -104,15 +104,24 @@
     @property
     def host(self) -> str:
         """The host that the request names, in lower case and without its port."""
-        absolute = _ABSOLUTE_FORM.match(self.target)
-        host = absolute[1] if absolute else self.header(b"host") or b""
-        return host.decode("latin-1").partition(":")[0].rstrip(".").lower()
+        host = (self.header(b"host") or b"").decode("latin-1")
+        return host.partition(":")[0].rstrip(".").lower()
 
     @property
     def path(self) -> str:
         """The path of the target, without its query string."""
-        target = _ABSOLUTE_FORM.sub(b"", self.target)
-        return target.split(b"?", 1)[0].decode("latin-1")
+        return self.target.split(b"?", 1)[0].decode("latin-1")
+
+    def remove_host_from_target(self) -> None:
+        """Moves the host of a target that names one, as requests to a proxy do, to its header."""
+        absolute = _ABSOLUTE_FORM.match(self.target)
+        if absolute is None:
+            return
+        rest = self.target[absolute.end() :]
+        self.target = rest if rest.startswith(b"/") else b"/" + rest
+        self.headers = [(n, v) for n, v in self.headers if n.lower() != b"host"]
+        self.headers.insert(0, (b"Host", absolute[1]))
+        self.headers_by_name[b"host"] = absolute[1]
 
     def feed_body(self, chunk: bytes) -> int:
         """Adds a part of the body; returns the number of buffered bytes."""
