--- a/soak/callers.py
+++ b/soak/callers.py
@@ -11,7 +11,8 @@
 from soak.daemons import Daemon
 from soak.ledger import SentRequest
 from soak.world import DESK, FILES, ROUTE_TIMEOUT_S, Deployment
-from standins.messages import read_answer, request
+from standins.messages import read_answer, read_final_answer, request
+from standins.odd_requests import BODY_SIZES, encode_chunked, vary_head
 
 __all__ = ["Callers", "connect"]
 
@@ -28,6 +29,16 @@
 # Fraction of the uploads that are large, and their size.
 LARGE_UPLOAD_RATIO = 0.1
 LARGE_UPLOAD_BYTES = 400_000
+# Size of a body that no daemon accepts.
+TOO_LARGE_BYTES = 5_000_000
+# Requests that are sent at once on one connection.
+PIPELINED = 3
+# Longest times in seconds after which a caller leaves, waits to be asked for a body, or stops; the
+# time after which one reads slowly, and over which one sends slowly in some parts.
+LEAVE_AFTER_S = 0.1
+EXPECT_WAIT_S = 0.2
+SLOW_READ_S = 0.3
+SLOW_SEND_S, SLOW_SEND_PARTS = 0.3, 10
 # Number of objects that requests are for, each with its own affinity key.
 OBJECT_COUNT = 23
 
@@ -50,7 +61,7 @@
 
     def _draw_request(self, daemon: str) -> tuple[SentRequest, bytes]:
         """Returns a random request to a daemon, and its bytes."""
-        random_source = self._deployment.random
+        deployment, random_source = self._deployment, self._deployment.random
         identifier = f"r{next(self._request_numbers):06}"
         body = b""
         method, path, services = "GET", "/read/1", {DESK}
@@ -59,12 +70,20 @@
             method, path, services = "POST", "/order/1", {DESK, FILES}
             if random_source.random() < 0.4:
                 path, services = "/files/1", {FILES}
-                body = (
-                    b"p" * LARGE_UPLOAD_BYTES
-                    if random_source.random() < LARGE_UPLOAD_RATIO
-                    else b"photo"
-                )
-        return self._build_request(daemon, identifier, method, path, body, services)
+                is_large = random_source.random() < LARGE_UPLOAD_RATIO
+                body = b"p" * LARGE_UPLOAD_BYTES if is_large else b"photo"
+        if method == "POST" and deployment.board.happens("caller.bodies"):
+            body = random_source.randbytes(random_source.choice(BODY_SIZES))
+        if method == "POST" and deployment.board.happens("caller.too-large"):
+            body = b"x" * TOO_LARGE_BYTES
+        sent_request, content = self._build_request(
+            daemon, identifier, method, path, body, services
+        )
+        if method == "POST" and deployment.board.happens("caller.bodies"):
+            content = encode_chunked(random_source, content)
+        if deployment.board.happens("caller.odd-heads"):
+            content = vary_head(random_source, content)
+        return sent_request, content
 
     def _build_request(
         self, daemon: str, identifier: str, method: str, path: str, body: bytes, services: set[str]
@@ -127,32 +146,87 @@
     async def _exchange_and_record(
         self, daemon: Daemon, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> bool:
-        """Sends one request and records its result; returns whether the connection stays open."""
+        """Sends some requests and records their results; returns whether the connection is kept."""
+        deployment, board = self._deployment, self._deployment.board
+        count = PIPELINED if board.happens("caller.pipeline") else 1
+        drawn = [self._draw_request(daemon.name) for _ in range(count)]
+        for sent_request, _ in drawn:
+            deployment.ledger.record_request(sent_request)
+        content = b"".join(part for _, part in drawn)
+        sending = asyncio.ensure_future(self._send(reader, writer, content))
+        try:
+            if board.happens("caller.leave"):
+                await asyncio.sleep(deployment.random.random() * LEAVE_AFTER_S)
+                return False
+            if board.happens("caller.slow-read"):
+                await asyncio.sleep(SLOW_READ_S)
+            for number, (sent_request, _) in enumerate(drawn):
+                if not await self._read_and_record(reader, sent_request, number == 0):
+                    return False
+            return await sending
+        finally:
+            sending.cancel()
+
+    async def _read_and_record(
+        self, reader: asyncio.StreamReader, sent_request: SentRequest, is_first: bool
+    ) -> bool:
+        """Reads the answer to a request and records it; returns whether more may follow."""
         deployment, ledger = self._deployment, self._deployment.ledger
-        sent_request, request_bytes = self._draw_request(daemon.name)
         identifier = sent_request.identifier
-        ledger.record_request(sent_request)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                writer.write(request_bytes)
-                await writer.drain()
-                status, headers, body = await read_answer(reader)
+                status, headers, body = await read_final_answer(reader)
         except TimeoutError:
-            ledger.record_wait(identifier, ANSWER_TIMEOUT_S, ROUTE_TIMEOUT_S, deployment.now_s())
+            if is_first:
+                ledger.record_wait(
+                    identifier, ANSWER_TIMEOUT_S, ROUTE_TIMEOUT_S, deployment.now_s()
+                )
             return False
         except (OSError, asyncio.IncompleteReadError):
             ledger.record_cut_connection(identifier, deployment.now_s())
             return False
         now_s = deployment.now_s()
+        repeats = headers.get("body-repeats", "")
         matches_request = (
             headers.get("request-id") == identifier
             and headers.get("response-signature") == f"sig-{identifier}"
-            and body == identifier.encode() * 200
+            and repeats.isdigit()
+            and body == identifier.encode() * int(repeats)
         )
         ledger.record_answer(identifier, status, matches_request, now_s)
-        ledger.record_wait(identifier, now_s - sent_request.sent_at_s, ROUTE_TIMEOUT_S, now_s)
+        if is_first:
+            waited_s = now_s - sent_request.sent_at_s
+            ledger.record_wait(identifier, waited_s, ROUTE_TIMEOUT_S, now_s)
         return headers.get("connection") != "close"
 
+    async def _send(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, content: bytes
+    ) -> bool:
+        """Sends the bytes of requests; returns whether the connection may be kept."""
+        deployment, board = self._deployment, self._deployment.board
+        try:
+            if board.happens("caller.expect") and b"\r\n\r\n" in content:
+                head, end, body = content.partition(b"\r\n\r\n")
+                writer.write(head + b"\r\nExpect: 100-continue" + end)
+                await asyncio.sleep(EXPECT_WAIT_S * deployment.random.random())
+                content = body
+            if board.happens("caller.stop-half-way"):
+                writer.write(content[: deployment.random.randrange(len(content) + 1)])
+                await asyncio.sleep(EXPECT_WAIT_S * deployment.random.random())
+                writer.transport.abort()
+                return False
+            step = len(content)
+            if board.happens("caller.slow-send"):
+                step = max(1, len(content) // SLOW_SEND_PARTS)
+            for start in range(0, len(content), max(1, step)):
+                writer.write(content[start : start + step])
+                await writer.drain()
+                if step < len(content):
+                    await asyncio.sleep(SLOW_SEND_S / SLOW_SEND_PARTS)
+        except OSError:
+            return False  # the daemon has closed the connection; its answer may still be read
+        return True
+
     async def _probe_daemons(self) -> None:
         """Periodically probes each running daemon for the newest configuration version."""
         while True:
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -28,13 +28,17 @@
     "coldSlack": 5.0,
 }
 
+# Fields that a later version of the platform may add.
+NEW_SETTINGS = 'newField = "x"\nnewList = [{ a = 1 }, { b = [2] }]\n'
+
 
 @dataclass
 class Daemon:
     """One daemon, which may be restarted.
 
     `zones` maps each availability zone to its region, and `store_address` is the address that the
-    daemon uses for the store. `incarnation` counts the starts of its process.
+    daemon uses for the store. `incarnation` counts the starts of its process. With
+    `has_new_settings` its settings have fields that it doesn't know.
     """
 
     name: str
@@ -47,6 +51,7 @@
     incarnation: int = 0
     exit_expected: bool = False
     paused: bool = False
+    has_new_settings: bool = False
     process: subprocess.Popen[bytes] | None = field(default=None, repr=False)
 
     @property
@@ -134,6 +139,8 @@
 [platform]
 address = "{self.store_address}"
 """
+        if self.has_new_settings:
+            content = NEW_SETTINGS + content + "newTable = { a = [1, { b = 2 }] }\n"
         path = self.folder / f"{self.name}.toml"
         temporary_path = path.with_suffix(".new")
         temporary_path.write_text(content, encoding="utf-8")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -116,11 +116,12 @@
     deployment.ledger.record_fault("store", deployment.now_s())
     match deployment.random.choice(("busy", "limited", "silent", "slow", "lost", "late", "forget")):
         case "busy":
+            store.is_down = True
             store.override_status = lambda target: 503
         case "limited":
             store.override_status = lambda target: 429 if deployment.random.random() < 0.7 else None
         case "silent":
-            store.unresponsive = True
+            store.unresponsive = store.is_down = True
         case "slow":
             store.execution_delay_s = 0.2
         case "lost":
@@ -131,7 +132,7 @@
             store.drop_history()
     await asyncio.sleep(FAULT_DURATION_S)
     store.override_status = lambda target: None
-    store.unresponsive = store.lose_answers = False
+    store.unresponsive = store.lose_answers = store.is_down = False
     store.execution_delay_s = store.write_delay_s = 0.0
     deployment.ledger.record_fault("store", deployment.now_s())
 
@@ -196,6 +197,7 @@
     if deployment.random.random() < 0.5:
         deployment.write_endpoint_entry(endpoint, state="draining")
     else:
+        endpoint.is_unlisted = True
         deployment.store.delete(f"servers/{endpoint.name}")
     deployment.ledger.record_endpoint_leaving(endpoint.name, deployment.now_s())
     await asyncio.sleep(2 * FAULT_DURATION_S)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -110,12 +110,13 @@
         identifier: str,
         endpoint: str,
         service: str,
-        received: tuple[str, str, bytes],
+        received: tuple[str, str, bytes] | None,
         now_s: float,
     ) -> None:
         """Records that an endpoint starts to run a request.
 
-        `received` are the method, the path and the body that reached the endpoint.
+        `received` are the method, the path and the body that reached the endpoint, None if it
+        answered before it had read the body.
         """
         history = self._histories.get(identifier)
         if history is None:
@@ -125,7 +126,8 @@
             return
         sent_request = history.sent_request
         history.runs.append(endpoint)
-        if received != (sent_request.method, sent_request.path, sent_request.body):
+        sent = (sent_request.method, sent_request.path, sent_request.body)
+        if received is not None and received != sent:
             self._report_violation(
                 "unchanged", f"{identifier} was received by {endpoint} as {received[:2]}"
             )
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -6,6 +6,7 @@
 from enum import Enum
 
 from lycheepin.gateway.settings import SocketAddress
+from standins.servers import reset_connection
 
 __all__ = ["Proxy", "ProxyMode"]
 
@@ -44,6 +45,7 @@
         self.address = target
         self._server: asyncio.Server | None = None
         self._writers: dict[asyncio.StreamWriter, str] = {}
+        self._silenced: set[asyncio.StreamWriter] = set()
         self._mode_changed = asyncio.Event()
 
     async def start(self) -> None:
@@ -70,6 +72,12 @@
             if host in (None, source_host):
                 writer.transport.abort()
 
+    def silence_open(self) -> None:
+        """Lets the open connections go silent for good, without a reset; new ones work."""
+        self._silenced |= self._writers.keys()
+        self._mode_changed.set()
+        self._mode_changed = asyncio.Event()
+
     def _get_mode(self, host: str) -> ProxyMode:
         """Returns the mode of the connections from a host."""
         return self._host_modes.get(host, self._default_mode)
@@ -98,12 +106,17 @@
                 self._forward_direction(reader, target_writer, host, _MODES_HOLDING_TO_TARGET),
                 self._forward_direction(target_reader, writer, host, _MODES_HOLDING_FROM_TARGET),
             )
+        except ConnectionResetError:
+            for connection_writer in (writer, target_writer):
+                if connection_writer is not None:
+                    reset_connection(connection_writer)
         except (OSError, asyncio.CancelledError):
-            return  # one side has closed, or the soak ends: both sides are reset
+            return  # one side has closed, or the soak ends: both sides are closed
         finally:
             for connection_writer in (writer, target_writer):
                 if connection_writer is not None:
                     self._writers.pop(connection_writer, None)
+                    self._silenced.discard(connection_writer)
                     connection_writer.transport.abort()
 
     async def _forward_direction(
@@ -115,7 +128,7 @@
     ) -> None:
         """Forwards one direction until end of file, and then closes it for writing."""
         while data := await reader.read(CHUNK_BYTES):
-            while self._get_mode(host) in holding_modes:
+            while self._get_mode(host) in holding_modes or writer in self._silenced:
                 await self._mode_changed.wait()
             if self._get_mode(host) is ProxyMode.DELAY:
                 await asyncio.sleep(CHUNK_DELAY_S)
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,6 +8,7 @@
 import random
 import signal
 import socket
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -17,9 +18,11 @@
 from soak.daemons import BOUNDS, CONTROL_PORT, Daemon
 from soak.ledger import RequestLedger
 from soak.proxy import Proxy
+from standins.hostile import HostileEndpoint
 from standins.messages import HOST, configuration, find_free_address
 from standins.metadata import MetadataStandIn, StoreCopy
-from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
+from standins.servers import ReceivedRequest, build_answer
+from standins.switches import SwitchBoard
 
 __all__ = [
     "DEADLY_PATH",
@@ -42,6 +45,8 @@
 # Minimum processing time of a request, and the maximum that is added at random.
 PROCESSING_S = 0.02
 PROCESSING_SPREAD_S = 0.02
+# How often the body of an answer repeats the id of its request, and that of a large one.
+REPEATS, LARGE_REPEATS = 200, 250_000
 # Part of the path of requests that crash endpoints, and the time for which the entry of a crashed
 # one stays in the store.
 DEADLY_PATH = "/deadly-"
@@ -60,26 +65,38 @@
     """One endpoint behind its proxy.
 
     `failure_mode` is how it misbehaves, or "well" when it does not. `start_number` counts the
-    endpoints in start order.
+    endpoints in start order. `is_unlisted` is true once it has left the store.
     """
 
     name: str
     service: str
-    stand_in: EndpointStandIn
+    stand_in: HostileEndpoint
     proxy: Proxy
     failure_mode: str = "well"
     start_number: int = 1
+    state: str = "ready"
+    is_unlisted: bool = False
 
 
 class Deployment:
     """Starts and stops daemons, store and endpoints, and generates the endpoints' answers."""
 
     def __init__(
-        self, seed: int, daemon_count: int, ledger: RequestLedger, folder: pathlib.Path
+        self,
+        seed: int,
+        daemon_count: int,
+        ledger: RequestLedger,
+        folder: pathlib.Path,
+        doses: Mapping[str, float] | None = None,
     ) -> None:
         self.random = random.Random(seed)
         self.ledger = ledger
-        self.store = MetadataStandIn()
+        self.board = SwitchBoard(seed)
+        for name, dose in (doses or {}).items():
+            self.board.set_dose(name, dose)
+        self.store = MetadataStandIn(self.board.count("store.high-numbers", 1))
+        self.store.board = self.board
+        self.store.on_page = self._change_between_pages
         self.endpoints: dict[str, Endpoint] = {}
         self.daemons: dict[str, Daemon] = {}
         self.store_proxy = Proxy(find_free_address())
@@ -116,12 +133,15 @@
         self._network_lock, network = _reserve_network()
         hosts = [Address(f"127.{network}.0.{n + 1}") for n in range(self._daemon_count)]
         seed_addresses = tuple(f"{host}:{CONTROL_PORT}" for host in hosts[:3])
+        if self.board.dose("platform.dead-seeds"):
+            seed_addresses = (f"127.{network}.9.9:{CONTROL_PORT}", *seed_addresses[:1])
         for number, host in enumerate(hosts):
             name = f"daemon-{number}"
             zone = sorted(ZONES)[number % len(ZONES)]
             self.daemons[name] = Daemon(
                 name, host, zone, ZONES, self.store_proxy.address, seed_addresses, self._folder
             )
+            self.daemons[name].has_new_settings = self.board.dose("platform.new-settings") > 0
             self.daemons[name].start()
 
     async def close(self) -> None:
@@ -174,7 +194,7 @@
 
     async def add_endpoint(self, service: str, cold_start_s: float = COLD_START_S) -> Endpoint:
         """Starts and registers an endpoint."""
-        stand_in = EndpointStandIn(HOST)
+        stand_in = HostileEndpoint(HOST, self.board, on_whole=self._record_whole_answer)
         await stand_in.start()
         proxy = Proxy(SocketAddress(HOST, stand_in.port))
         await proxy.start()
@@ -183,7 +203,7 @@
     def register_new_endpoint(
         self,
         service: str,
-        stand_in: EndpointStandIn,
+        stand_in: HostileEndpoint,
         proxy: Proxy,
         cold_start_s: float = COLD_START_S,
     ) -> Endpoint:
@@ -203,6 +223,46 @@
 
     def write_endpoint_entry(self, endpoint: Endpoint, **changes: Any) -> None:
         """Writes an endpoint's entry to the store; `changes` are additional or different fields."""
+        endpoint.state = changes.get("state", endpoint.state)
+        entry = self.build_endpoint_entry(endpoint, **changes)
+        self.store.put(f"servers/{endpoint.name}", entry)
+
+    def rewrite_endpoint_entry(self, name: str) -> None:
+        """Writes the entry of an endpoint again, as its next heartbeat does, unless it has left."""
+        endpoint = self.endpoints.get(name)
+        if endpoint is None or endpoint.is_unlisted:
+            self.store.delete(f"servers/{name}")
+        else:
+            self.write_endpoint_entry(endpoint)
+
+    def pick_running_endpoint(self) -> Endpoint:
+        """Returns a random endpoint that has not begun to leave."""
+        running = [
+            name
+            for name, endpoint in sorted(self.endpoints.items())
+            if endpoint.state == "ready" and not endpoint.is_unlisted
+        ]
+        return self.endpoints[self.random.choice(running)]
+
+    def restart_endpoint(self, endpoint: Endpoint) -> None:
+        """Ends an endpoint and starts another process under its id, whose counts start anew."""
+        self.ledger.record_fault("endpoints", self.now_s())
+        endpoint.proxy.reset()
+        self._started_endpoint_count += 1
+        endpoint.start_number = self._started_endpoint_count
+        self.write_endpoint_entry(endpoint, sequence=1)
+
+    def _change_between_pages(self) -> None:
+        """Changes the entry of a random endpoint, as while a listing is read."""
+        if self.endpoints:
+            self.rewrite_endpoint_entry(self.random.choice(sorted(self.endpoints)))
+
+    def _record_whole_answer(self, received: ReceivedRequest) -> None:
+        """Records that an endpoint's answer was sent to its end."""
+        self.ledger.record_complete_answer(received.headers.get("request-id", ""))
+
+    def build_endpoint_entry(self, endpoint: Endpoint, **changes: Any) -> dict[str, Any]:
+        """Returns an endpoint's entry with the next sequence number."""
         zone = sorted(ZONES)[endpoint.start_number % len(ZONES)]
         address = str(endpoint.proxy.address)
         self._entry_count += 1
@@ -210,10 +270,10 @@
             "address": address,
             "born": endpoint.start_number,
             "sequence": self._entry_count,
+            "state": endpoint.state,
             **changes,
         }
-        entry = endpoint.stand_in.build_entry(zone, endpoint.service, **values)
-        self.store.put(f"servers/{endpoint.name}", entry)
+        return endpoint.stand_in.build_entry(zone, endpoint.service, **values)
 
     def restore_store(self, stored: StoreCopy) -> None:
         """Restores the store from a copy; operator and endpoints write again what they wrote.
@@ -269,9 +329,11 @@
         self.ledger.record_arrival(identifier, endpoint.service, now_s)
         if received.headers.get("target-instance") != endpoint.name:
             return build_answer(received, 421, Instance_Id=endpoint.name)
-        if endpoint.failure_mode == "sheds" and self.random.random() < 0.5:
-            return build_answer(received, 503, Not_Executed="1", Server_Load="1,0,4")
-        content = (received.method, received.target, received.body)
+        sheds = endpoint.failure_mode == "sheds" and self.random.random() < 0.5
+        if sheds or self.board.happens("endpoint.refuse"):
+            status = self.random.choice((503, 503, 429, 400))
+            return build_answer(received, status, Not_Executed="1", Server_Load="1,0,4")
+        content = (received.method, received.target, received.body) if received.body_read else None
         self.ledger.record_run(identifier, endpoint.name, endpoint.service, content, now_s)
         if DEADLY_PATH in received.target:
             self.ledger.record_crash(identifier, now_s)
@@ -283,7 +345,15 @@
             await asyncio.sleep(60)
         slowdown = 10 if endpoint.failure_mode == "slow" else 1
         await asyncio.sleep(slowdown * (PROCESSING_S + self.random.random() * PROCESSING_SPREAD_S))
-        answer = build_answer(received, 200, identifier.encode() * 200, Server_Load="1,0,4")
+        repeats = LARGE_REPEATS if self.board.happens("endpoint.large-answers") else REPEATS
+        status = 500 if self.board.happens("endpoint.fail") else 200
+        answer = build_answer(
+            received,
+            status,
+            identifier.encode() * repeats,
+            Server_Load="1,0,4",
+            Body_Repeats=str(repeats),
+        )
         match endpoint.failure_mode:
             case "resets":
                 return b""
@@ -294,7 +364,6 @@
                 return answer + answer
             case "spoils":
                 return b"\x00\x01 not an answer\r\n\r\n"
-        self.ledger.record_complete_answer(identifier)
         return answer
 
 
--- a/standins/messages.py
+++ b/standins/messages.py
@@ -11,7 +11,17 @@
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import Address
 
-__all__ = ["HOST", "configuration", "find_free_address", "read_answer", "read_message", "request"]
+__all__ = [
+    "HOST",
+    "configuration",
+    "find_free_address",
+    "read_answer",
+    "read_body",
+    "read_final_answer",
+    "read_head",
+    "read_message",
+    "request",
+]
 
 # A loopback address of this process's own, so that runs beside each other don't share ports.
 HOST = Address(str(ipaddress.IPv4Address("127.64.0.1") + os.getpid() % (1 << 22)))
@@ -99,19 +109,39 @@
     return int(start_line.split(" ")[1]), headers, body
 
 
+async def read_final_answer(
+    reader: asyncio.StreamReader,
+) -> tuple[int, dict[str, str], bytes]:
+    """Reads the next answer that is not interim; returns its status, headers and body."""
+    while True:
+        status, headers, body = await read_answer(reader)
+        if status >= 200:
+            return status, headers, body
+
+
 async def read_message(reader: asyncio.StreamReader) -> tuple[str, dict[str, str], bytes]:
     """Reads a request or answer and returns its start line, headers and body.
 
-    Names of headers are in lower case. The body has a `Content-Length` or is chunked without
-    trailers. Raises `asyncio.IncompleteReadError` when the connection ends early.
+    Raises `asyncio.IncompleteReadError` when the connection ends early.
     """
+    start_line, headers = await read_head(reader)
+    return start_line, headers, await read_body(reader, headers)
+
+
+async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
+    """Reads the head of a message; returns its start line and headers, names in lower case."""
     head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-    headers = {n.lower(): v for n, v in (line.split(": ", 1) for line in head[1:] if line)}
-    body = b""
+    fields = (line.split(":", 1) for line in head[1:] if line)
+    return head[0], {name.lower(): value.strip(" \t") for name, value in fields}
+
+
+async def read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> bytes:
+    """Reads a body that has a `Content-Length` or is chunked without trailers."""
     if "content-length" in headers:
-        body = await reader.readexactly(int(headers["content-length"]))
-    elif headers.get("transfer-encoding") == "chunked":
+        return await reader.readexactly(int(headers["content-length"]))
+    parts = []
+    if headers.get("transfer-encoding") == "chunked":
         while size := int(await reader.readuntil(b"\r\n"), 16):
-            body += (await reader.readexactly(size + 2))[:-2]
+            parts.append((await reader.readexactly(size + 2))[:-2])
         await reader.readexactly(2)
-    return head[0], headers, body
+    return b"".join(parts)
--- a/standins/metadata.py
+++ b/standins/metadata.py
@@ -11,6 +11,7 @@
 import base64
 import copy
 import json
+import random
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -19,13 +20,16 @@
 
 from lycheepin.transport.incoming import IncomingRequest
 from lycheepin.transport.listener import Listener
+from standins.switches import SwitchBoard
 
 __all__ = ["MetadataStandIn", "StoreCopy"]
 
 # Items of one page of a listing.
 PAGE_ITEMS = 5
-# Changes of one answer to a watch.
-MAX_EVENTS = 1000
+# Changes that the history holds.
+MAX_HISTORY = 100_000
+# Time in seconds after which a write is carried out whose call has failed.
+LATE_WRITE_S = 1.5
 # Time to live of the leases of a restored copy, in milliseconds.
 RESTORED_LEASE_MS = 4000
 MS_PER_S = 1000
@@ -50,33 +54,37 @@
         execution_delay_s: Time between the arrival of a call and its execution.
         write_delay_s: Additional time before a write; the connection of its call is closed at once.
         min_ttl_ms: Shortest time to live of a lease that is granted.
-        max_events: Changes in one answer to a watch; the next watch returns the rest.
+        board: Switches of the store, see `standins.switches`.
         on_page: Called after each page of a listing.
+        is_down: Whether no call is served; leases may stand still meanwhile.
         override_status: Returns the status with which a call to a target is rejected, None to
             serve the call.
 
     `calls` lists method and target of all calls.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, first_number: int = 1) -> None:
         self.items: dict[str, dict[str, Any]] = {}
-        self.revision = 1
+        self.revision = first_number
         self.era = 0
         self.calls: list[str] = []
         self.unresponsive = False
         self.lose_answers = False
+        self.is_down = False
         self.execution_delay_s = 0.0
         self.write_delay_s = 0.0
         self.min_ttl_ms = 0
-        self.max_events = MAX_EVENTS
+        self.board = SwitchBoard()
         self.on_page: Callable[[], None] = lambda: None
         self.override_status: Callable[[str], int | None] = lambda target: None
         self._history: deque[dict[str, Any]] = deque()
         self._history_after = 0
         self._leases: dict[int, asyncio.TimerHandle] = {}
+        self._ttls_ms: dict[int, int] = {}
         self._waiting: set[IncomingRequest] = set()
-        self._last_lease = 100
+        self._last_lease = first_number + 100
         self._changed = asyncio.Event()
+        self._random = random.Random(first_number)
         self._listener = Listener(self._handle)
 
     async def listen(self, host: str, port: int) -> None:
@@ -164,6 +172,8 @@
     def _append_event(self, event: dict[str, Any]) -> None:
         """Appends an event to the history and notifies the watches."""
         self._history.append(event)
+        while len(self._history) > self.board.count("store.short-history", MAX_HISTORY):
+            self._history_after = self._history.popleft()["revision"]
         self._notify_watches()
 
     def _notify_watches(self) -> None:
@@ -178,24 +188,36 @@
         self.calls.append(f"{request.method.decode()} {target}")
         if self.unresponsive:
             await asyncio.Event().wait()
-        await asyncio.sleep(self.execution_delay_s)
+        await asyncio.sleep(self.execution_delay_s + self._draw_delay_s())
         status = self.override_status(target)
+        if status is None and self.board.happens("store.reject"):
+            status = self._random.choice((0, 429, 503, 503))
+        if status == 0:
+            request.abort()
+            return
         if status is not None:
             request.respond(status, [self._era_header()], b"")
             return
         path, _, query = target.partition("?")
-        if self.write_delay_s and request.method == b"POST":
-            self._schedule_write(path, body)
+        late_s = LATE_WRITE_S if self.board.happens("store.late-writes") else self.write_delay_s
+        if late_s and request.method == b"POST":
+            self._schedule_write(path, body, late_s)
             request.abort()
             return
         fields = {name: values[0] for name, values in parse_qs(query).items()}
+        cut_after_s: float | None = None
         if "kv-watch" in path:
             self._waiting.add(request)
+            cut_after_s = self.board.dose("store.cut-watches") or None
         try:
-            code, answer = await self._execute(request.method.decode(), path, fields, body)
+            async with asyncio.timeout(cut_after_s):
+                code, answer = await self._execute(request.method.decode(), path, fields, body)
+        except TimeoutError:
+            request.abort()
+            return
         finally:
             self._waiting.discard(request)
-        if self.lose_answers:
+        if self.lose_answers or self.board.happens("store.lose-answers"):
             request.abort()
             return
         content = json.dumps(answer).encode()
@@ -206,12 +228,15 @@
         """Returns the header that counts how often the store was restored from a copy."""
         return b"Store-Era", str(self.era).encode()
 
-    def _schedule_write(self, path: str, body: bytes) -> None:
-        """Schedules a write for `write_delay_s` later; its call has failed by then."""
+    def _draw_delay_s(self) -> float:
+        """Returns the time that a slow store takes for one call, in seconds."""
+        mean_s = self.board.dose("store.slow")
+        return self._random.expovariate(1 / mean_s) if mean_s else 0.0
+
+    def _schedule_write(self, path: str, body: bytes, delay_s: float) -> None:
+        """Schedules a write for `delay_s` later; its call has failed by then."""
         loop = asyncio.get_running_loop()
-        loop.call_later(
-            self.write_delay_s, lambda: loop.create_task(self._execute("POST", path, {}, body))
-        )
+        loop.call_later(delay_s, lambda: loop.create_task(self._execute("POST", path, {}, body)))
 
     async def _execute(
         self, method: str, path: str, fields: dict[str, str], body: bytes
@@ -220,7 +245,8 @@
         match method, path.split("/")[2:]:
             case "GET", ["kv-range"]:
                 page = self._list_page(fields.get("prefix", ""), fields.get("after", ""))
-                self.on_page()
+                if self.board.happens("store.changing-pages"):
+                    self.on_page()
                 return 200, page
             case "GET", ["kv-watch"]:
                 return await self._watch(
@@ -241,8 +267,9 @@
     def _list_page(self, prefix: str, after: str) -> Any:
         """Returns one page of the keys with a prefix that are greater than `after`."""
         keys = sorted(key for key in self.items if key.startswith(prefix) and key > after)
-        page = [self.items[key] for key in keys[:PAGE_ITEMS]]
-        return {"items": page, "hasMore": len(keys) > PAGE_ITEMS, "asOf": self.revision}
+        size = self.board.count("store.small-pages", PAGE_ITEMS)
+        page = [self.items[key] for key in keys[:size]]
+        return {"items": page, "hasMore": len(keys) > size, "asOf": self.revision}
 
     async def _watch(self, prefix: str, after: int, wait_ms: int) -> tuple[int, Any]:
         """Returns the changes after a revision as soon as there are some, or none after `wait_ms`.
@@ -259,8 +286,9 @@
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             remaining_s = deadline_s - asyncio.get_running_loop().time()
-            if len(events) > self.max_events:
-                events = events[: self.max_events]
+            max_events = self.board.count("store.few-events", len(events))
+            if len(events) > max_events:
+                events = events[:max_events]
                 return 200, {"events": events, "asOf": events[-1]["revision"]}
             if events or remaining_s <= 0:
                 return 200, {"events": events, "asOf": self.revision}
@@ -273,6 +301,8 @@
     def _grant_lease(self, ttl_ms: int) -> Any:
         """Grants a lease and returns the answer."""
         self._last_lease += 1
+        longest_s = self.board.dose("store.short-leases")
+        ttl_ms = min(ttl_ms, int(longest_s * MS_PER_S)) if longest_s else ttl_ms
         self._schedule_expiry(self._last_lease, ttl_ms)
         return {"lease": self._last_lease, "ttlMs": ttl_ms}
 
@@ -282,13 +312,22 @@
         if timer is None:
             return 404, {}
         timer.cancel()
-        self._schedule_expiry(lease, 4000)
-        return 200, {"ttlMs": 4000}
+        ttl_ms = self._ttls_ms[lease]
+        self._schedule_expiry(lease, ttl_ms)
+        return 200, {"ttlMs": ttl_ms}
 
     def _schedule_expiry(self, lease: int, ttl_ms: int) -> None:
         """Schedules the end of a lease."""
         loop = asyncio.get_running_loop()
-        self._leases[lease] = loop.call_later(ttl_ms / MS_PER_S, self.end_lease, lease)
+        self._ttls_ms[lease] = ttl_ms
+        self._leases[lease] = loop.call_later(ttl_ms / MS_PER_S, self._expire_lease, lease)
+
+    def _expire_lease(self, lease: int) -> None:
+        """Ends a lease that was not renewed; in an outage its time may stand still."""
+        if self.is_down and self.board.happens("store.pause-leases"):
+            self._schedule_expiry(lease, self._ttls_ms[lease])
+        else:
+            self.end_lease(lease)
 
     def _execute_transaction(self, body: Any) -> tuple[int, Any]:
         """Carries out a transaction.
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -3,18 +3,29 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+import struct
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Any
 
 from standins.messages import read_message
 
-__all__ = ["ReceivedRequest", "EndpointStandIn", "answer_ok", "build_answer"]
+__all__ = [
+    "EndpointStandIn",
+    "ReceivedRequest",
+    "answer_ok",
+    "build_answer",
+    "reset_connection",
+]
 
 
 @dataclass
 class ReceivedRequest:
-    """A request as the endpoint received it; `number` counts the endpoint's requests from 0."""
+    """A request as the endpoint received it; `number` counts the endpoint's requests from 0.
+
+    An endpoint that answers early has not read the body.
+    """
 
     method: str
     target: str
@@ -22,6 +33,7 @@
     body: bytes
     number: int
     writer: asyncio.StreamWriter = field(repr=False)
+    body_read: bool = True
 
 
 Script = Callable[[ReceivedRequest], Awaitable[bytes]]
@@ -50,6 +62,15 @@
     return build_answer(received)
 
 
+def reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection, which its peer can tell from one that was closed."""
+    connection = writer.get_extra_info("socket")
+    if connection is not None and not writer.transport.is_closing():
+        linger = struct.pack("ii", 1, 0)
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class EndpointStandIn:
     """An endpoint on a free port.
 
--- a/tests/gateway/test_knowledge.py
+++ b/tests/gateway/test_knowledge.py
@@ -89,7 +89,8 @@
                 entry = endpoint.build_entry("north-1", state=state, sequence=sequence)
                 self.store.put("servers/h", entry)
 
-        self.store.max_events = 1
+        self.store.board.set_dose("store.few-events", 1)
+        self.store.board.set_dose("store.changing-pages", 1.0)
         self.store.on_page = change_while_listed
         gateway = await self.add_gateway()
         states: list[bool] = []
