--- a/tests/soak/test_switches.py
+++ b/tests/soak/test_switches.py
@@ -3,11 +3,14 @@
 import pathlib
 import random
 import re
+import shutil
+import tempfile
 import unittest
 from collections.abc import Sequence
 
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.platform.entries import UnreadableEntry, decode_entry
+from soak.mutants import MUTANTS
 from soak.switching import (
     MAX_DRAWN,
     MIN_DRAWN,
@@ -94,3 +97,14 @@
         for _ in range(5000):
             value = build_odd_entry(source, entry)
             self.assertIsInstance(decode_entry("servers/a", value, zones), UnreadableEntry, value)
+
+
+class Mutants(unittest.TestCase):
+    def test_each_mutant_changes_the_code_as_it_is(self) -> None:
+        for mutant in MUTANTS:
+            with tempfile.TemporaryDirectory() as name:
+                path = pathlib.Path(name) / "lycheepin" / mutant.path
+                path.parent.mkdir(parents=True)
+                shutil.copy(ROOT / "lycheepin" / mutant.path, path)
+                mutant.apply(pathlib.Path(name))
+                self.assertIn(mutant.new, path.read_text(encoding="utf-8"))
