A store that answers other daemons was not away

What callers would see: while the store turns one daemon away, that daemon uses endpoints that have left until they end, and loses their last requests.

Cause: failed calls and updates of peers take turns; the short gaps between them add up to an outage in which entries could have expired, though the store served the others all the time.

Change: a gap that an answer to another daemon ends within a heartbeat interval is no outage.

Tests: two in tests/steering/test_store_contact.py; the first failed with the old rule (removals doubted).

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -148,10 +148,13 @@
             self.store_answers = False
             self._log.write("store_lost", reason=reason, silent_s=_round_s(silent_s))
 
-    def mark_store_available(self, position: Position, age_s: float = 0.0) -> None:
-        """Records that the store was at a position when it answered, `age_s` seconds ago."""
+    def mark_store_available(self, position: Position, age_s: float | None = None) -> None:
+        """Records that the store was at a position when it answered.
+
+        That was `age_s` seconds ago if it answered another daemon.
+        """
         contact, now_s = self.registry.contact, self._now_s()
-        outage_s = contact.observe_answer(now_s, age_s)
+        outage_s = contact.observe_answer(now_s, age_s or 0.0, relayed=age_s is not None)
         if not self.store_answers:
             self.store_answers = True
             self._log.write(
--- a/lycheepin/steering/store_contact.py
+++ b/lycheepin/steering/store_contact.py
@@ -45,17 +45,22 @@
         if self._away_since_s is None:
             self._away_since_s = since_s
 
-    def observe_answer(self, now_s: float, age_s: float = 0.0) -> float | None:
-        """Records that the store answered `age_s` seconds ago.
+    def observe_answer(
+        self, now_s: float, age_s: float = 0.0, relayed: bool = False
+    ) -> float | None:
+        """Records that the store answered `age_s` seconds ago, to another daemon if `relayed`.
 
         Returns the length in seconds of the outage that this ends, None if it ends none: an answer
-        from before a failure is no sign that the store is back.
+        from before a failure is no sign that the store is back. Where it answers others all the
+        time it was not away, though it turns this daemon's calls away.
         """
         answered_at_s = now_s - age_s
         if self._away_since_s is None or answered_at_s < self._away_since_s:
             return None
         outage_s = answered_at_s - self._away_since_s
         self._away_since_s = None
+        if relayed and outage_s < self.heartbeat_s:
+            return outage_s
         self._outages.append((answered_at_s, outage_s))
         while self._outages[0][0] < answered_at_s - EXPIRY_INTERVALS * self.heartbeat_s:
             self._outages.popleft()
--- a/tests/steering/test_store_contact.py
+++ b/tests/steering/test_store_contact.py
@@ -60,6 +60,21 @@
             contact.observe_answer(now_s)
             self.assertTrue(contact.believes_removals(now_s))
 
+    # Guards against a daemon that the store turns away using endpoints to their very end.
+    def test_store_that_answers_other_daemons_was_not_away(self) -> None:
+        now_s = 100.0
+        for _ in range(40):
+            now_s += 0.25
+            self.contact.observe_failure(now_s - 0.3)
+            now_s += 0.25
+            self.contact.observe_answer(now_s, 0.05, relayed=True)
+            self.assertTrue(self.contact.believes_removals(now_s))
+
+    def test_relayed_answer_after_a_long_silence_ends_an_outage(self) -> None:
+        self.contact.observe_failure(100.0)
+        self.contact.observe_answer(100.0 + HEARTBEAT_S + 0.1, 0.05, relayed=True)
+        self.assertFalse(self.contact.believes_removals(100.2 + HEARTBEAT_S))
+
     # Guards against endpoints that run being removed when their entries expired in an outage.
     @given(st.floats(0.0, 1.0), st.floats(0.5, 30.0), st.floats(0.0, WATCH_S))
     @settings(derandomize=True, max_examples=300)
