Shares of regions are held while full endpoints of the own region refuse

Cause: requests don't move. Those that prefer the own region's endpoints are refused, as these are full first; those that prefer another region's are still taken, so that region's share grows.

Change: steering/region_shares.py counts what full endpoints of the own region refuse. The bound comes from the settings; without it nothing is held.

--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -30,6 +30,7 @@
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import RateLimits
+from lycheepin.steering.region_shares import RegionShares
 from lycheepin.steering.routes import RoutingTable
 from lycheepin.steering.suspects import SuspectRegistry
 from lycheepin.transport.connection import ConnectionPool
@@ -90,7 +91,12 @@
         )
         self.rate_limits = RateLimits(settings.name, carriers)
         self._dispatcher = Dispatcher(
-            self.registry, placement, settings.terms, carriers, self.rate_limits
+            self.registry,
+            placement,
+            settings.terms,
+            carriers,
+            self.rate_limits,
+            RegionShares(settings.region, settings.max_shift),
         )
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
         self.suspects = SuspectRegistry(carriers.is_chosen)
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -56,7 +56,8 @@
     `apply_limit_s`. `link_mbps` is the bandwidth of the VM's link in Mbit/s and `processors` the
     number of cores that the process may use; 0 if unknown. `bootstrap` is true when all daemons
     start for the first time. Endpoints write to their entries every `heartbeat_s`, and leases of
-    the store live for `min_lease_s` at least.
+    the store live for `min_lease_s` at least. Of the requests from a region at most the part
+    `max_shift` may change the region in which they run within seconds; None: any.
     """
 
     name: DaemonName
@@ -80,3 +81,4 @@
     bootstrap: bool = False
     heartbeat_s: float = DEFAULT_HEARTBEAT_S
     min_lease_s: float = 0.0
+    max_shift: float | None = None
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -19,6 +19,7 @@
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import RateLimits
+from lycheepin.steering.region_shares import RegionShares
 from lycheepin.steering.routes import ServiceSpec
 
 __all__ = [
@@ -91,6 +92,7 @@
 
     `other_requests` is the estimate of other daemons' requests there, `report_age_s` the age of the
     last report that it is based on, and `answer_s` the expected time to an answer.
+    `is_own_region` is true for an endpoint in the daemon's region.
     """
 
     id: EndpointId
@@ -99,6 +101,7 @@
     other_requests: float
     report_age_s: float | None
     answer_s: float
+    is_own_region: bool = False
 
 
 @dataclass(frozen=True)
@@ -127,8 +130,10 @@
         limits: BudgetLimits,
         carriers: Carriers,
         rate_limits: RateLimits,
+        region_shares: RegionShares | None = None,
     ) -> None:
         self._registry = registry
+        self._region_shares = region_shares or RegionShares(placement.own_region, None)
         self._placement = placement
         self._rate_limits = rate_limits
         self._cold_starts = ColdStartLimiter(limits, carriers)
@@ -149,13 +154,49 @@
 
         Cold endpoints are used only when no healthy one is warm, and at a limited rate. Excluded
         endpoints are used only when all are excluded. Endpoints with a limit are used within this
-        daemon's share of it.
+        daemon's share of it, and those of other regions within the shares that these may have.
         """
         choice = self._choose(requirements, spec, now_s)
-        if isinstance(choice, SelectedEndpoint):
-            self._rate_limits.count_request(choice.endpoint.record.id, now_s)
+        shares, service = self._region_shares, requirements.service
+        if shares.needs_capacity(service, now_s):
+            shares.observe_capacity(service, self._count_own_slots(service, now_s), now_s)
+        if isinstance(choice, Refusal):
+            by_own = any(weighed.is_own_region for weighed in choice.weighed)
+            shares.count_refused(service, by_own, now_s)
+            return choice
+        region = choice.endpoint.record.region
+        if not self._must_move(requirements) and not shares.may_send(service, region, now_s):
+            shares.count_refused(service, False, now_s)
+            weighed = (self._weigh(choice.endpoint, now_s),)
+            return self._refuse(
+                choice.endpoint, ErrorKind.SHIFT_CAP, requirements.jitter, weighed, now_s
+            )
+        shares.count_sent(service, region, now_s)
+        self._rate_limits.count_request(choice.endpoint.record.id, now_s)
         return choice
 
+    def _must_move(self, requirements: AttemptRequirements) -> bool:
+        """Returns whether an attempt may not or could not be made in the own region."""
+        allowed = requirements.allowed_regions
+        return bool(requirements.tried) or (
+            bool(allowed) and self._placement.own_region not in allowed
+        )
+
+    def _count_own_slots(self, service: ServiceName, now_s: float) -> int:
+        """Returns the slots of the own region's endpoints that take requests without a limit."""
+        return sum(
+            slots
+            for (slots, region), endpoints in self._registry.groups(service)
+            if region == self._placement.own_region
+            for endpoint in endpoints
+            if not endpoint.is_leaving
+            and endpoint.record.zone not in self._registry.evacuated_zones
+            and endpoint.missing_since_s is None
+            and now_s >= endpoint.excluded_until_s
+            and not endpoint.is_cold(now_s)
+            and self._rate_limits.find_limit(endpoint.record.id) is None
+        )
+
     def _choose(self, requirements: AttemptRequirements, spec: ServiceSpec, now_s: float) -> Choice:
         """Returns the endpoint for an attempt, which isn't counted yet, or a refusal."""
         preferred, limited_s = self._find_preferred(requirements, now_s)
@@ -294,6 +335,7 @@
             endpoint.other_requests(now_s),
             endpoint.report_age_s(now_s),
             self._registry.predict_answer_s(endpoint, now_s),
+            endpoint.record.region == self._placement.own_region,
         )
 
     def _fastest(self, preferred: Sequence[Endpoint], now_s: float) -> tuple[float, int]:
--- a/lycheepin/steering/placement.py
+++ b/lycheepin/steering/placement.py
@@ -91,7 +91,7 @@
 
     def __init__(self, registry: EndpointRegistry, region: RegionName) -> None:
         self._registry = registry
-        self._region = region
+        self.own_region = region
         self._orders: OrderedDict[tuple[ServiceName, str], _Order] = OrderedDict()
 
     def iterate_endpoints(self, service: ServiceName, object_key: str) -> Iterator[Endpoint]:
@@ -167,4 +167,4 @@
     def _weight(self, slots: int, region: RegionName) -> float:
         """Returns the weight of an endpoint by its slots and its region."""
         weight = float(max(1, slots))
-        return weight * OWN_REGION_WEIGHT if region == self._region else weight
+        return weight * OWN_REGION_WEIGHT if region == self.own_region else weight
