--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -114,7 +114,10 @@
 
 
 def _find(mutant: Mutant, first_seed: int) -> tuple[int, str]:
-    """Returns the number of runs until a violation, and the violation; "" if there was none."""
+    """Returns the number of runs until a violation, and the violation; "" if there was none.
+
+    Raises RuntimeError when a run ends with an error of its own.
+    """
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
         for part in FOLDERS:
@@ -127,8 +130,10 @@
             result = subprocess.run(
                 command, cwd=folder, capture_output=True, text=True, check=False
             )
+            if result.returncode and " violations" not in result.stdout:
+                raise RuntimeError(f"{mutant.name}, seed {seed}: {result.stderr}")
             if result.returncode:
-                return runs, (result.stdout or result.stderr).partition("\n")[0]
+                return runs, result.stdout.partition("\n")[0]
     return MAX_RUNS, ""
 
 
