Choices, the server's protocol and the soak's endpoints in modules of their own

In the soak the endpoints' answers leave world.py, and the two stand-ins of endpoints share the wait for their script; bytes that are no answer no longer count as a whole one there.

--- a/experiments/load.py
+++ b/experiments/load.py
@@ -11,7 +11,7 @@
 
 from experiments.model import Daemon, Layout, Request, Simulation
 from lycheepin.names import ServiceName
-from lycheepin.steering.dispatch import Refusal
+from lycheepin.steering.choices import Refusal
 from lycheepin.steering.progress import AttemptResult, NotRun, Served
 from lycheepin.steering.routes import RequestKind, Route, ServiceShare
 
--- a/experiments/model.py
+++ b/experiments/model.py
@@ -19,13 +19,8 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
-from lycheepin.steering.dispatch import (
-    AttemptRequirements,
-    Choice,
-    Dispatcher,
-    Refusal,
-    SelectedEndpoint,
-)
+from lycheepin.steering.choices import AttemptRequirements, Choice, Refusal, SelectedEndpoint
+from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import Endpoint, EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
--- a/experiments/policies.py
+++ b/experiments/policies.py
@@ -6,7 +6,7 @@
 
 from experiments.model import Chooser, Daemon, Simulation
 from lycheepin.errors import ErrorKind
-from lycheepin.steering.dispatch import AttemptRequirements, Choice, Refusal, SelectedEndpoint
+from lycheepin.steering.choices import AttemptRequirements, Choice, Refusal, SelectedEndpoint
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.routes import ServiceSpec
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -15,12 +15,8 @@
 from lycheepin.quarantine.exchange import SuspicionExchange
 from lycheepin.quarantine.fingerprints import fingerprint_request
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
-from lycheepin.steering.dispatch import (
-    MIN_RETRY_AFTER_S,
-    Dispatcher,
-    Refusal,
-    SelectedEndpoint,
-)
+from lycheepin.steering.choices import Refusal, SelectedEndpoint
+from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Dispatcher
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
--- a/lycheepin/gateway/request_log.py
+++ b/lycheepin/gateway/request_log.py
@@ -7,7 +7,7 @@
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.steering.dispatch import Refusal, SelectedEndpoint, WeighedEndpoint
+from lycheepin.steering.choices import Refusal, SelectedEndpoint, WeighedEndpoint
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.progress import (
     AttemptResult,
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -49,10 +49,6 @@
                 continue  # a flag such as `closed=true`, which gateways don't use
         return cls(values)
 
-    def find(self, name: str) -> float | None:
-        """Returns the value of a bound, or None if the file doesn't list it."""
-        return self.values.get(name)
-
     def get(self, name: str, default: float) -> float:
         """Returns the value of a bound, or `default` if the file doesn't list it."""
         return self.values.get(name, default)
@@ -103,7 +99,7 @@
             min_lease_s=float(document["platform"].get("ttlMinMs", 0)) / MS_PER_S,
             heartbeat_s=float(document.get("heartbeatIntervalMs", DEFAULT_HEARTBEAT_S * MS_PER_S))
             / MS_PER_S,
-            max_shift=bounds.find("maxShift"),
+            max_shift=bounds.values.get("maxShift"),
             link_mbps=float(limits.get("linkMbps", 0.0)),
             # `cpuShare` is a share of one core, and that core is `cores` times as fast
             processors=float(limits.get("cpuShare", 0.0)) * float(limits.get("cores", 1)),
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -10,11 +10,17 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
-from dataclasses import dataclass
 
 from lycheepin.errors import ErrorKind
-from lycheepin.names import EndpointId, RegionName, ServiceName
+from lycheepin.names import EndpointId, ServiceName
 from lycheepin.steering.budgets import BudgetLimits, Carriers, ColdStartLimiter
+from lycheepin.steering.choices import (
+    AttemptRequirements,
+    Choice,
+    Refusal,
+    SelectedEndpoint,
+    WeighedEndpoint,
+)
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
@@ -22,15 +28,7 @@
 from lycheepin.steering.region_shares import RegionShares
 from lycheepin.steering.routes import ServiceSpec
 
-__all__ = [
-    "MIN_RETRY_AFTER_S",
-    "AttemptRequirements",
-    "Choice",
-    "Dispatcher",
-    "Refusal",
-    "SelectedEndpoint",
-    "WeighedEndpoint",
-]
+__all__ = ["MIN_RETRY_AFTER_S", "Dispatcher"]
 
 # Number of preferred endpoints of an object. With one, an object depends on a single endpoint; with
 # three, each of them would see the object half as often and lose it from its cache sooner.
@@ -57,69 +55,6 @@
 MAX_LIMITED = 16
 
 
-@dataclass(frozen=True)
-class AttemptRequirements:
-    """The requirements of one attempt on its endpoint.
-
-    `target_at_s` and `deadline_s` are monotonic times in seconds. `allowed_regions` is empty when
-    any region may serve the request. `jitter` is a number from 0 to 1, fixed for each request,
-    that spreads the retries of callers. `is_caller_retry` is true when the caller repeats a request
-    that was refused or failed.
-    """
-
-    service: ServiceName
-    object_key: str
-    priority: int
-    allowed_regions: frozenset[RegionName]
-    target_at_s: float
-    deadline_s: float
-    tried: frozenset[EndpointId] = frozenset()
-    jitter: float = 0.5
-    is_caller_retry: bool = False
-
-
-@dataclass(frozen=True)
-class SelectedEndpoint:
-    """The endpoint for an attempt; `rank` is its index among the candidates for the object."""
-
-    endpoint: Endpoint
-    rank: int
-
-
-@dataclass(frozen=True)
-class WeighedEndpoint:
-    """An endpoint that was considered for a refused attempt, with what decided; times in seconds.
-
-    `other_requests` is the estimate of other daemons' requests there, `report_age_s` the age of the
-    last report that it is based on, and `answer_s` the expected time to an answer.
-    `is_own_region` is true for an endpoint in the daemon's region.
-    """
-
-    id: EndpointId
-    slots: int
-    in_flight: int
-    other_requests: float
-    report_age_s: float | None
-    answer_s: float
-    is_own_region: bool = False
-
-
-@dataclass(frozen=True)
-class Refusal:
-    """No endpoint can take the attempt; capacity is expected in `retry_after_s` seconds.
-
-    `weighed` has the preferred endpoints; it is empty if none was usable, or all were cold, or none
-    of them takes a request of this daemon now.
-    """
-
-    kind: ErrorKind
-    retry_after_s: float
-    weighed: tuple[WeighedEndpoint, ...] = ()
-
-
-Choice = SelectedEndpoint | Refusal
-
-
 class Dispatcher:
     """Selects endpoints for the attempts of this daemon."""
 
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -13,7 +13,8 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, ServiceName
 from lycheepin.steering.budgets import RetryBudgetShare
-from lycheepin.steering.dispatch import AttemptRequirements, Dispatcher
+from lycheepin.steering.choices import AttemptRequirements
+from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.routes import RequestKind, Route
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -8,18 +8,16 @@
 
 import asyncio
 from collections import deque
-from collections.abc import Awaitable, Callable
 from http import HTTPStatus
-from typing import Protocol
 
 import httptools
 
-from lycheepin.steering.routes import CallerLimits
 from lycheepin.transport.headers import WHITESPACE
 from lycheepin.transport.incoming import IncomingRequest
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
+from lycheepin.transport.server import Server
 
-__all__ = ["ELEMENT_MARGIN_BYTES", "CallerConnection", "Handler", "Server"]
+__all__ = ["ELEMENT_MARGIN_BYTES", "CallerConnection"]
 
 # Buffered bytes of a request body above which reading from the connection pauses.
 BODY_HIGH_WATER_BYTES = 256 * 1024
@@ -35,21 +33,6 @@
 # Headers that announce a body.
 _BODY_HEADERS = {b"content-length", b"transfer-encoding"}
 
-Handler = Callable[[IncomingRequest], Awaitable[None]]
-
-
-class Server(Protocol):
-    """What a connection needs of the server that accepted it."""
-
-    handler: Handler
-    connections: set[CallerConnection]
-    limits: CallerLimits
-    in_flight: int
-    closing: bool
-    build_refusal: Callable[[int], bytes]
-    on_refused: Callable[[int], None]
-    on_error: Callable[[Exception], None]
-
 
 class CallerConnection(asyncio.Protocol):
     """A connection of a caller; its requests are handled one at a time, in order."""
--- a/lycheepin/transport/listener.py
+++ b/lycheepin/transport/listener.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 
 from lycheepin.steering.routes import CallerLimits
-from lycheepin.transport.caller_connection import CallerConnection, Handler
+from lycheepin.transport.caller_connection import CallerConnection
 from lycheepin.transport.incoming import REASONS
+from lycheepin.transport.server import Handler
 
 __all__ = ["Listener"]
 
--- a/measure/decisions.py
+++ b/measure/decisions.py
@@ -9,7 +9,8 @@
 
 from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits, Carriers
-from lycheepin.steering.dispatch import AttemptRequirements, Dispatcher
+from lycheepin.steering.choices import AttemptRequirements
+from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import OWN_REGION_WEIGHT, Placement, rendezvous_score
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,9 +8,10 @@
 
 from soak.callers import connect
 from soak.daemons import Daemon
+from soak.endpoints import DEADLY_PATH
 from soak.ledger import SentRequest
 from soak.proxy import ProxyMode
-from soak.world import DEADLY_PATH, DESK, FILES, LARGE_ROUTE_COUNT, ZONES, Deployment
+from soak.world import DESK, FILES, LARGE_ROUTE_COUNT, ZONES, Deployment
 from standins.messages import request
 
 __all__ = ["FAULTS", "Fault"]
--- a/soak/world.py
+++ b/soak/world.py
@@ -9,23 +9,22 @@
 import signal
 import socket
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
 from lycheepin.gateway.own_entries import DAEMON_PREFIX
 from lycheepin.gateway.settings import SocketAddress
 from lycheepin.names import Address
 from soak.daemons import BOUNDS, CONTROL_PORT, Daemon
+from soak.endpoints import Endpoint, EndpointScript
 from soak.ledger import RequestLedger
 from soak.proxy import Proxy
 from standins.hostile import HostileEndpoint
 from standins.messages import HOST, configuration, find_free_address
 from standins.metadata import MetadataStandIn, StoreCopy
-from standins.servers import ReceivedRequest, build_answer
+from standins.servers import ReceivedRequest
 from standins.switches import SwitchBoard
 
 __all__ = [
-    "DEADLY_PATH",
     "DESK",
     "FILES",
     "LARGE_ROUTE_COUNT",
@@ -42,14 +41,7 @@
 TARGET_LATENCY_S = 0.6
 ROUTE_TIMEOUT_S = 1.5
 COLD_START_S = 1.0
-# Minimum processing time of a request, and the maximum that is added at random.
-PROCESSING_S = 0.02
-PROCESSING_SPREAD_S = 0.02
-# How often the body of an answer repeats the id of its request, and that of a large one.
-REPEATS, LARGE_REPEATS = 200, 250_000
-# Part of the path of requests that crash endpoints, and the time for which the entry of a crashed
-# one stays in the store.
-DEADLY_PATH = "/deadly-"
+# Time for which the entry of a crashed endpoint stays in the store.
 ENTRY_OF_CRASHED_S = 2.0
 # Number of routes in a large configuration.
 LARGE_ROUTE_COUNT = 600
@@ -60,24 +52,6 @@
 FIRST_NETWORK, LAST_NETWORK = 64, 127
 
 
-@dataclass
-class Endpoint:
-    """One endpoint behind its proxy.
-
-    `failure_mode` is how it misbehaves, or "well" when it does not. `start_number` counts the
-    endpoints in start order. `is_unlisted` is true once it has left the store.
-    """
-
-    name: str
-    service: str
-    stand_in: HostileEndpoint
-    proxy: Proxy
-    failure_mode: str = "well"
-    start_number: int = 1
-    state: str = "ready"
-    is_unlisted: bool = False
-
-
 class Deployment:
     """Starts and stops daemons, store and endpoints, and generates the endpoints' answers."""
 
@@ -94,6 +68,7 @@
         self.board = SwitchBoard(seed)
         for name, dose in (doses or {}).items():
             self.board.set_dose(name, dose)
+        self._script = EndpointScript(ledger, self.board, self.random, self._schedule_crash)
         self.store = MetadataStandIn(self.board.count("store.high-numbers", 1))
         self.store.board = self.board
         self.store.on_page = self._change_between_pages
@@ -216,7 +191,7 @@
             proxy,
             start_number=self._started_endpoint_count,
         )
-        stand_in.script = lambda received: self._answer_request(endpoint, received)
+        stand_in.script = lambda received: self._script.answer(endpoint, received)
         self.endpoints[endpoint.name] = endpoint
         self.write_endpoint_entry(endpoint, coldRemainingMs=int(cold_start_s * 1000))
         return endpoint
@@ -297,6 +272,12 @@
             endpoint.proxy.close()
             endpoint.stand_in.close()
 
+    def _schedule_crash(self, endpoint: Endpoint) -> None:
+        """Crashes an endpoint, in a task of its own."""
+        task = asyncio.ensure_future(self.crash_endpoint(endpoint))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def crash_endpoint(self, endpoint: Endpoint) -> None:
         """Stops an endpoint abruptly and adds another one; the first one's entry stays a while."""
         self.ledger.record_fault("endpoints", self.now_s())
@@ -322,50 +303,6 @@
             self.ledger.record_fault(daemon.name, self.now_s())
             daemon.send_signal(signal.SIGKILL)
 
-    async def _answer_request(self, endpoint: Endpoint, received: ReceivedRequest) -> bytes:
-        """Answers one request according to the endpoint's failure mode."""
-        identifier = received.headers.get("request-id", "")
-        now_s = self.now_s()
-        self.ledger.record_arrival(identifier, endpoint.service, now_s)
-        if received.headers.get("target-instance") != endpoint.name:
-            return build_answer(received, 421, Instance_Id=endpoint.name)
-        sheds = endpoint.failure_mode == "sheds" and self.random.random() < 0.5
-        if sheds or self.board.happens("endpoint.refuse"):
-            status = self.random.choice((503, 503, 429, 400))
-            return build_answer(received, status, Not_Executed="1", Server_Load="1,0,4")
-        content = (received.method, received.target, received.body) if received.body_read else None
-        self.ledger.record_run(identifier, endpoint.name, endpoint.service, content, now_s)
-        if DEADLY_PATH in received.target:
-            self.ledger.record_crash(identifier, now_s)
-            task = asyncio.ensure_future(self.crash_endpoint(endpoint))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
-            return b""
-        if endpoint.failure_mode == "silent":
-            await asyncio.sleep(60)
-        slowdown = 10 if endpoint.failure_mode == "slow" else 1
-        await asyncio.sleep(slowdown * (PROCESSING_S + self.random.random() * PROCESSING_SPREAD_S))
-        repeats = LARGE_REPEATS if self.board.happens("endpoint.large-answers") else REPEATS
-        status = 500 if self.board.happens("endpoint.fail") else 200
-        answer = build_answer(
-            received,
-            status,
-            identifier.encode() * repeats,
-            Server_Load="1,0,4",
-            Body_Repeats=str(repeats),
-        )
-        match endpoint.failure_mode:
-            case "resets":
-                return b""
-            case "cuts":
-                received.writer.write(answer[: len(answer) // 2])
-                return b""
-            case "repeats":
-                return answer + answer
-            case "spoils":
-                return b"\x00\x01 not an answer\r\n\r\n"
-        return answer
-
 
 def _reserve_network() -> tuple[socket.socket, int]:
     """Reserves a loopback network for this soak.
--- a/standins/hostile.py
+++ b/standins/hostile.py
@@ -95,22 +95,16 @@
             return True
         received.body, received.body_read = await read_body(reader, headers), True
         self.received_requests.append(received)
-        answer = asyncio.ensure_future(self.script(received))
-        closed = asyncio.ensure_future(reader.read(1))
-        await asyncio.wait({answer, closed}, return_when=asyncio.FIRST_COMPLETED)
-        if not answer.done():
-            answer.cancel()
-            self.aborted_requests += 1
-            return False
-        closed.cancel()
-        await asyncio.wait({closed})
-        content = answer.result()
+        content = await self._run_script(received, reader)
         return bool(content) and await self._deliver(received, content)
 
     async def _deliver(self, received: ReceivedRequest, content: bytes) -> bool:
         """Sends an answer in one of the allowed ways; returns whether the connection stays open."""
         board, writer = self.board, received.writer
         head, _, body = content.partition(b"\r\n\r\n")
+        if not content.startswith(b"HTTP/"):
+            writer.write(content)
+            return False
         if board.happens("endpoint.garbage"):
             writer.write(b"\x00\x01 not an answer\r\n\r\n")
             return False
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -126,16 +126,7 @@
             while True:
                 received = await self._read_request(reader, writer)
                 self.received_requests.append(received)
-                answer = asyncio.ensure_future(self.script(received))
-                closed = asyncio.ensure_future(reader.read(1))
-                await asyncio.wait({answer, closed}, return_when=asyncio.FIRST_COMPLETED)
-                if not answer.done():
-                    answer.cancel()
-                    self.aborted_requests += 1
-                    return
-                closed.cancel()
-                await asyncio.wait({closed})
-                content = answer.result()
+                content = await self._run_script(received, reader)
                 if not content:
                     return
                 writer.write(content)
@@ -146,6 +137,19 @@
             self.open_connections.discard(writer)
             writer.transport.abort()
 
+    async def _run_script(self, received: ReceivedRequest, reader: asyncio.StreamReader) -> bytes:
+        """Returns the answer of the script; none if the peer closes the connection before."""
+        answer = asyncio.ensure_future(self.script(received))
+        closed = asyncio.ensure_future(reader.read(1))
+        await asyncio.wait({answer, closed}, return_when=asyncio.FIRST_COMPLETED)
+        if not answer.done():
+            answer.cancel()
+            self.aborted_requests += 1
+            return b""
+        closed.cancel()
+        await asyncio.wait({closed})
+        return answer.result()
+
     async def _read_request(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> ReceivedRequest:
--- a/tests/steering/builders.py
+++ b/tests/steering/builders.py
@@ -4,7 +4,8 @@
 
 from lycheepin.names import Address, DaemonName, EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits, Carriers
-from lycheepin.steering.dispatch import AttemptRequirements, Dispatcher
+from lycheepin.steering.choices import AttemptRequirements
+from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
--- a/tests/steering/test_fleet_growth.py
+++ b/tests/steering/test_fleet_growth.py
@@ -7,15 +7,12 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, RegionName, ZoneName
 from lycheepin.steering.budgets import Carriers
+from lycheepin.steering.choices import AttemptRequirements, Choice, Refusal, SelectedEndpoint
 from lycheepin.steering.dispatch import (
     MAX_RETRY_AFTER_S,
     MIN_LISTED_FRACTION,
     PREFERRED_ENDPOINTS,
-    AttemptRequirements,
-    Choice,
     Dispatcher,
-    Refusal,
-    SelectedEndpoint,
 )
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
--- a/tests/steering/test_rate_limits.py
+++ b/tests/steering/test_rate_limits.py
@@ -7,7 +7,7 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import DaemonName, EndpointId, RegionName
 from lycheepin.steering.budgets import Carriers
-from lycheepin.steering.dispatch import Refusal, SelectedEndpoint
+from lycheepin.steering.choices import Refusal, SelectedEndpoint
 from lycheepin.steering.rate_limits import RateLimits
 from tests.steering.builders import (
     OWN,
