--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -4,15 +4,29 @@
 
 import asyncio
 
+from lycheepin.gateway.process import Gateway
 from lycheepin.steering.routes import CallerLimits
 from lycheepin.transport.listener import TIMEOUT_CHECK_S
-from standins.servers import ReceivedRequest, build_answer
+from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
 from tests.gateway.deployment import TIMEOUT_S, DeploymentCase, read_answer, request
 
 H2C = {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c", "HTTP2_Settings": "AAMAAABk"}
 
 
 class PipelinedRequests(DeploymentCase):
+    async def _start_with_held_answers(self) -> tuple[EndpointStandIn, Gateway, asyncio.Event]:
+        """Starts an endpoint and a gateway; the answers wait for the event that is returned."""
+        may_answer = asyncio.Event()
+
+        async def script(received: ReceivedRequest) -> bytes:
+            await may_answer.wait()
+            return build_answer(received)
+
+        endpoint = await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        return endpoint, gateway, may_answer
+
     # Guards against a request that runs being answered by the refusal of the next one.
     async def test_requests_before_an_invalid_one_get_their_own_answers(self) -> None:
         head = b"GET /read/1 HTTP/1.1\r\nHost: a.example\r\n"
@@ -24,15 +38,7 @@
 
     async def _send_before(self, invalid: bytes, refused: int) -> None:
         """Sends two requests and an invalid one, whose refusal comes before their answers."""
-        may_answer = asyncio.Event()
-
-        async def script(received: ReceivedRequest) -> bytes:
-            await may_answer.wait()
-            return build_answer(received)
-
-        endpoint = await self.add_endpoint("a", script)
-        gateway = await self.add_gateway()
-        await self.wait_until_ready(gateway)
+        endpoint, gateway, may_answer = await self._start_with_held_answers()
         gateway._caller_listener.limits = CallerLimits(header_timeout_s=0.1)
         statuses: list[int] = []
         gateway._caller_listener.on_refused = statuses.append
@@ -84,15 +90,7 @@
 
     # Guards against an interim answer between the parts of the answer to the request before.
     async def test_body_is_asked_for_after_the_answers_to_earlier_requests(self) -> None:
-        may_answer = asyncio.Event()
-
-        async def script(received: ReceivedRequest) -> bytes:
-            await may_answer.wait()
-            return build_answer(received)
-
-        endpoint = await self.add_endpoint("a", script)
-        gateway = await self.add_gateway()
-        await self.wait_until_ready(gateway)
+        endpoint, gateway, may_answer = await self._start_with_held_answers()
         front = gateway.settings.front
         reader, writer = await asyncio.open_connection(front.host, front.port)
         order = request("/order/1", "POST", "r1", b"order", Expect="100-continue")
@@ -109,15 +107,7 @@
 
     # Guards against a request that was refused in its body being waited for to its deadline.
     async def test_connection_ends_when_the_body_of_the_next_request_is_too_large(self) -> None:
-        may_answer = asyncio.Event()
-
-        async def script(received: ReceivedRequest) -> bytes:
-            await may_answer.wait()
-            return build_answer(received)
-
-        endpoint = await self.add_endpoint("a", script)
-        gateway = await self.add_gateway()
-        await self.wait_until_ready(gateway)
+        endpoint, gateway, may_answer = await self._start_with_held_answers()
         gateway._caller_listener.limits = CallerLimits(max_body_bytes=10)
         front = gateway.settings.front
         reader, writer = await asyncio.open_connection(front.host, front.port)
