Soak: a run after which nothing is served fails also without time limits

A run that serves nothing after its last fault is a violation now; the bound of the recovery stays a time limit.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -287,7 +287,9 @@
 
     def check_recovery(self, served_ratio: float, min_ratio: float) -> None:
         """Checks the ratio of requests that were served after the last fault."""
-        if served_ratio < min_ratio:
+        if served_ratio == 0:
+            self._report_violation("served at all", "no request was served after the last fault")
+        elif served_ratio < min_ratio:
             self._report_time_limit_violation(
                 "recovery", f"{served_ratio:.2f} of the requests were served after the last fault"
             )
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -136,5 +136,7 @@
         ledger = RequestLedger(check_time_limits=False)
         ledger.check_recovery(0.1, 0.9)
         self.assertEqual(ledger.violations, [])
+        ledger.check_recovery(0.0, 0.9)
+        self.assertEqual([each.guarantee for each in ledger.violations], ["served at all"])
         self.ledger.check_recovery(0.1, 0.9)
         self.assertEqual(self._violated_guarantees(), ["recovery"])
