--- a/soak/callers.py
+++ b/soak/callers.py
@@ -193,7 +193,8 @@
             and repeats.isdigit()
             and body == identifier.encode() * int(repeats)
         )
-        ledger.record_answer(identifier, status, matches_request, now_s)
+        detail = f"got {len(body)} bytes with {headers}"
+        ledger.record_answer(identifier, status, matches_request, now_s, detail)
         if is_first:
             waited_s = now_s - sent_request.sent_at_s
             ledger.record_wait(identifier, waited_s, ROUTE_TIMEOUT_S, now_s)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -170,11 +170,17 @@
             history.endpoint_answered = True
 
     def record_answer(
-        self, identifier: str, status: int, matches_request: bool, now_s: float
+        self,
+        identifier: str,
+        status: int,
+        matches_request: bool,
+        now_s: float,
+        detail: str = "",
     ) -> None:
         """Records the answer that a caller received.
 
-        `matches_request` is true when it is complete and belongs to this request.
+        `matches_request` is true when it is complete and belongs to this request; `detail` says for
+        a violation what it was.
         """
         history = self._histories[identifier]
         sent_request = history.sent_request
@@ -182,7 +188,7 @@
         self.outcomes[str(status)] += 1
         if status == 200:
             if not matches_request:
-                self._report_violation("own whole answer", identifier)
+                self._report_violation("own whole answer", f"{identifier} {detail}".strip())
             if not history.runs:
                 self._report_violation("success without a run", identifier)
         if status == 404:
--- a/standins/hostile.py
+++ b/standins/hostile.py
@@ -99,9 +99,14 @@
         return bool(content) and await self._deliver(received, content)
 
     async def _deliver(self, received: ReceivedRequest, content: bytes) -> bool:
-        """Sends an answer in one of the allowed ways; returns whether the connection stays open."""
+        """Sends an answer in one of the allowed ways; returns whether the connection stays open.
+
+        What the script has added behind the answer is sent as it is.
+        """
         board, writer = self.board, received.writer
         head, _, body = content.partition(b"\r\n\r\n")
+        length = _read_length(head)
+        body, added = body[:length], body[length:]
         if not content.startswith(b"HTTP/"):
             writer.write(content)
             return False
@@ -131,7 +136,7 @@
             content += self._encode_chunks(body)
         else:
             content = head + b"\r\n\r\n" + body
-        writer.write(content)
+        writer.write(content + added)
         await writer.drain()
         self.on_whole(received)
         if board.happens("endpoint.extra-answers"):
@@ -189,6 +194,12 @@
         )
 
 
+def _read_length(head: bytes) -> int:
+    """Returns the length of the body that a head names."""
+    names = (line.partition(b":") for line in head.split(b"\r\n"))
+    return next((int(v) for n, _, v in names if n.lower() == b"content-length"), 0)
+
+
 def _remove_length(head: bytes) -> bytes:
     """Returns a head without the length of the body."""
     lines = head.split(b"\r\n")
--- a/tests/soak/test_switches.py
+++ b/tests/soak/test_switches.py
@@ -1,5 +1,6 @@
 """The switches of the stand-ins: the table of the proofs, and how a soak draws and shrinks them."""
 
+import asyncio
 import pathlib
 import random
 import re
@@ -8,6 +9,8 @@
 import unittest
 from collections.abc import Sequence
 
+import httptools
+
 from lycheepin.names import RegionName, ZoneName
 from lycheepin.platform.entries import UnreadableEntry, decode_entry
 from soak.mutants import MUTANTS
@@ -18,8 +21,10 @@
     draw_switches,
     shrink_switches,
 )
+from standins.hostile import HostileEndpoint
+from standins.messages import request
 from standins.odd_entries import build_odd_entry
-from standins.servers import EndpointStandIn
+from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
 from standins.switches import SWITCHES, SwitchBoard
 from tests.gateway.deployment import HOST
 
@@ -108,3 +113,42 @@
                 shutil.copy(ROOT / "lycheepin" / mutant.path, path)
                 mutant.apply(pathlib.Path(name))
                 self.assertIn(mutant.new, path.read_text(encoding="utf-8"))
+
+
+class Bodies:
+    """Collects the bodies of the answers on a connection, without interim ones."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.bodies: list[bytes] = []
+
+    def on_headers_complete(self) -> None:
+        """Called by the parser."""
+        if self.parser.get_status_code() >= 200:
+            self.bodies.append(b"")
+
+    def on_body(self, body: bytes) -> None:
+        """Called by the parser."""
+        self.bodies[-1] += body
+
+
+class HostileEndpoints(unittest.IsolatedAsyncioTestCase):
+    # Guards against a fault of the stand-in: an added answer that becomes a part of the body.
+    async def test_answers_keep_their_bodies_in_whatever_way_they_are_sent(self) -> None:
+        async def script(received: ReceivedRequest) -> bytes:
+            return build_answer(received, 200, b"0123456789") * 2
+
+        for name in ("endpoint.chunks", "endpoint.interim", "endpoint.odd-headers"):
+            board = SwitchBoard(3)
+            board.set_dose(name, 1.0)
+            endpoint = HostileEndpoint(HOST, board, script)
+            await endpoint.start()
+            self.addCleanup(endpoint.close)
+            reader, writer = await asyncio.open_connection(HOST, endpoint.port)
+            writer.write(request())
+            answers = Bodies()
+            async with asyncio.timeout(20):
+                while len(b"".join(answers.bodies)) < 20:
+                    answers.parser.feed_data(await reader.read(1000))
+            writer.close()
+            self.assertEqual(answers.bodies, [b"0123456789"] * 2, name)
