--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -70,7 +70,7 @@
         """Resets the open connections from one host, or from all hosts."""
         for writer, source_host in list(self._writers.items()):
             if host in (None, source_host):
-                writer.transport.abort()
+                reset_connection(writer)
 
     def silence_open(self) -> None:
         """Lets the open connections go silent for good, without a reset; new ones work."""
--- a/soak/switching.py
+++ b/soak/switching.py
@@ -7,7 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 
-from soak.world import Deployment
+from soak.world import DESK, FILES, Deployment
 from standins.odd_entries import build_odd_entry
 from standins.switches import PER_SECOND, SECONDS, SWITCHES, Party
 
@@ -98,8 +98,9 @@
     """Writes an odd entry under a new key, or for a while under the key of an endpoint."""
     source = deployment.random
     name = source.choice(sorted(deployment.endpoints))
-    other = source.choice(sorted(deployment.endpoints))
-    entry = build_odd_entry(source, deployment.build_endpoint_entry(deployment.endpoints[other]))
+    service = source.choice((DESK, FILES))
+    whole = deployment.build_endpoint_entry(deployment.endpoints[name]) | {"service": service}
+    entry = build_odd_entry(source, whole)
     if source.random() < 0.5:
         key = source.choice(("odd", "odd\ud800", "o" * 150, "odd entry\r\nX-Odd: 1"))
         deployment.store.put(f"servers/{key}-{source.randrange(9)}", entry)
