--- a/standins/odd_entries.py
+++ b/standins/odd_entries.py
@@ -29,15 +29,18 @@
     "bad..name:80",
 )
 NESTING = 3000
+# Part of the odd entries that are whole but for one field.
+MISSING_FRACTION = 0.5
 
 
 def build_odd_entry(source: random.Random, entry: dict[str, Any]) -> bytes:
     """Returns an entry of which something is missing, of another type or out of range."""
     entry = dict(entry)
     required = ("service", "address", "zone", "version", "slots", "state", "coldRemainingMs")
-    match source.randrange(6):
-        case 0:
-            del entry[source.choice(required)]
+    if source.random() < MISSING_FRACTION:
+        del entry[source.choice(required)]
+        return json.dumps(entry).encode()
+    match source.randrange(1, 6):
         case 1 | 2:
             name = source.choice((*required, "sequence", "born"))
             odd = [value for value in ODD_VALUES if (name, value) != ("version", "")]
--- a/standins/switches.py
+++ b/standins/switches.py
@@ -61,7 +61,7 @@
     Switch("store.reject", (0.05, 0.4), FRACTION, disturbs=True),
     Switch("store.short-leases", (1.0, 2.0), SECONDS),
     Switch("store.pause-leases", (1.0,), FRACTION),
-    Switch("writer.odd-entries", (2.0, 20.0), PER_SECOND),
+    Switch("writer.odd-entries", (5.0, 40.0), PER_SECOND),
     Switch("endpoint.extra-answers", (0.03, 0.3), FRACTION),
     Switch("endpoint.truncate", (0.02, 0.2), FRACTION),
     Switch("endpoint.garbage", (0.02, 0.2), FRACTION),
