--- a/lycheepin/daemon/suspicions.py
+++ b/lycheepin/daemon/suspicions.py
@@ -27,7 +27,6 @@
 REPEATS_S = (0.0, 0.3, 1.0)
 # Daemons of each other region that get a notice, and pass it on there.
 TOLD_PER_REGION = 2
-
 # Notices that are remembered, so that each is applied once.
 MAX_KNOWN = 4096
 
@@ -93,7 +92,7 @@
 
     def publish(self, suspicion: Suspicion, delay_s: float = 0.0) -> None:
         """Tells the other daemons after a delay in seconds, several times."""
-        self._known[suspicion] = None
+        self._remember(suspicion)
         loop = asyncio.get_running_loop()
         for repeat_s in REPEATS_S:
             loop.call_later(delay_s + repeat_s, self._send, suspicion)
@@ -110,13 +109,17 @@
         )
         if suspicion in self._known:
             return
-        self._known[suspicion] = None
-        if len(self._known) > MAX_KNOWN:
-            del self._known[next(iter(self._known))]
+        self._remember(suspicion)
         self._exchange.apply_suspicion(suspicion)
         if not notice.relayed:
             self._send_to(self._list_region(self._node.region), suspicion, relayed=True)
 
+    def _remember(self, suspicion: Suspicion) -> None:
+        """Notes that a suspicion was applied, and forgets the oldest one beyond the limit."""
+        self._known[suspicion] = None
+        if len(self._known) > MAX_KNOWN:
+            del self._known[next(iter(self._known))]
+
     def _send(self, suspicion: Suspicion) -> None:
         """Sends a notice to this region and to some daemons of each other one."""
         self._send_to(self._list_region(self._node.region), suspicion, relayed=True)
