--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -75,9 +75,7 @@
             host=Address(document["ip"]),
             zone=ZoneName(document["zone"]),
             region=RegionName(document["region"]),
-            zones={
-                ZoneName(zone): RegionName(region) for zone, region in document["zones"].items()
-            },
+            zones={ZoneName(z): RegionName(region) for z, region in document["zones"].items()},
             front=SocketAddress.parse(listen["front"]),
             ready=SocketAddress.parse(listen["ready"]),
             directory=SocketAddress.parse(listen["directory"]),
