Shares of regions count nothing where no bound is set; a property that nothing uses is gone

Behaviour stays as it is: without maxShift nothing was held, but each request was counted; Connection.head_done lost its last use when both interfaces got one way to send bodies on.

--- a/lycheepin/steering/region_shares.py
+++ b/lycheepin/steering/region_shares.py
@@ -104,11 +104,15 @@
 
     def count_sent(self, service: ServiceName, region: RegionName, now_s: float) -> None:
         """Counts a request that is sent to a region."""
+        if self.max_shift is None:
+            return
         sent = self._find(service).present_bin(now_s).sent
         sent[region] = sent.get(region, 0) + 1
 
     def count_refused(self, service: ServiceName, by_own_region: bool, now_s: float) -> None:
         """Counts a request that is refused, by full endpoints of the own region or otherwise."""
+        if self.max_shift is None:
+            return
         present = self._find(service).present_bin(now_s)
         present.refused += 1
         present.refused_by_own += by_own_region
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -287,11 +287,6 @@
         """Whether the answer had no length and ended when the connection was closed."""
         return self._ends_at_close and self._complete
 
-    @property
-    def head_done(self) -> bool:
-        """Whether the head of the answer has arrived, or the connection has failed before it."""
-        return self._head is not None and self._head.done()
-
     async def head(self) -> AnswerHead:
         """Waits for the head of the answer; raises BrokenAnswer when the connection fails first."""
         assert self._head is not None
