Workspaces: keys, names, priorities and homes by version of the configuration

Change: a configuration with workspaces identifies callers by key; an unknown, doubled, malformed or missing key gets 401, nothing runs; the endpoint gets the name, never the key, whatever the caller sent, on public routes too. A workspace's priority precedes the route's, homes of both bind. The quarantine and the estimate of caller retries know workspaces apart. Deployments whose configuration has no workspaces pass credentials on as before.

--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -9,6 +9,7 @@
 import re
 import socket
 from collections.abc import Callable
+from contextlib import suppress
 from typing import Annotated, Any, TypeVar
 
 from msgspec import Meta, MsgspecError, json
@@ -25,6 +26,7 @@
     "SlotCount",
     "Text",
     "create_decoder",
+    "parse_assignments",
     "parse_count",
     "require_int",
     "require_ipv4",
@@ -108,6 +110,20 @@
     return int(value) if _COUNT_DIGITS.fullmatch(value) else None
 
 
+def parse_assignments(assignments: Any) -> dict[str, float]:
+    """Returns the numbers of a list of `name=value` texts, or of one text with commas between them.
+
+    Items whose value is not a number, such as `closed=true`, are left out.
+    """
+    items = assignments.split(",") if isinstance(assignments, str) else assignments
+    values: dict[str, float] = {}
+    for item in items if isinstance(items, list) else []:
+        name, _, value = str(item).partition("=")
+        with suppress(ValueError):
+            values[name.strip()] = float(value)
+    return values
+
+
 def require_int(value: Any, minimum: int = 0, maximum: int = MAX_INT) -> int:
     """Returns `value` if it is an integer within the bounds; raises ValueError otherwise."""
     if not isinstance(value, int) or isinstance(value, bool) or not minimum <= value <= maximum:
--- a/lycheepin/errors.py
+++ b/lycheepin/errors.py
@@ -43,6 +43,9 @@
     LINK_FULL = "link_full"
     ENDPOINT_REPLACED = "endpoint_replaced"
     NO_ROUTE = "no_route"
+    NO_REGION = "no_region"
+    UNKNOWN_KEY = "unknown_key"
+    QUOTA_SPENT = "quota_spent"
     ENDPOINT_SHED = "endpoint_shed"
     ENDPOINT_UNREACHABLE = "endpoint_unreachable"
     ENDPOINT_BROKE = "endpoint_broke"
@@ -84,6 +87,9 @@
     ErrorKind.LINK_FULL: Answer(503, Outcome.NOT_RUN, "the link's share for uploads is in use"),
     ErrorKind.ENDPOINT_REPLACED: Answer(503, Outcome.NOT_RUN, "another endpoint has the address"),
     ErrorKind.NO_ROUTE: Answer(404, Outcome.NOT_RUN, "no route has this host and path"),
+    ErrorKind.NO_REGION: Answer(503, Outcome.NOT_RUN, "no region may serve the request"),
+    ErrorKind.UNKNOWN_KEY: Answer(401, Outcome.NOT_RUN, "the key belongs to no workspace"),
+    ErrorKind.QUOTA_SPENT: Answer(429, Outcome.NOT_RUN, "the quota of the workspace is spent"),
     ErrorKind.ENDPOINT_SHED: Answer(503, Outcome.NOT_RUN, "the endpoints shed the request"),
     ErrorKind.ENDPOINT_UNREACHABLE: Answer(503, Outcome.NOT_RUN, "no endpoint was reached"),
     ErrorKind.ENDPOINT_BROKE: Answer(502, Outcome.OUTCOME_UNKNOWN, "the endpoint's answer broke"),
--- a/lycheepin/gateway/dialect.py
+++ b/lycheepin/gateway/dialect.py
@@ -19,6 +19,8 @@
     proves that an endpoint made the answer, and `load` reports running requests, waiting requests
     and slots. `rate_limit` is the number of requests per second that the endpoint takes from all
     daemons together.
+
+    `workspace` is the name of the workspace that a request belongs to, which only the daemon sets.
     """
 
     request_id: bytes
@@ -29,3 +31,4 @@
     signature: bytes
     load: bytes
     rate_limit: bytes
+    workspace: bytes
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -9,6 +9,7 @@
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
+from lycheepin.gateway.identification import identify_caller
 from lycheepin.gateway.request_log import RequestLog
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
@@ -44,6 +45,8 @@
 
 # Retry-After, in seconds, of a daemon that has no configuration yet.
 STARTING_RETRY_AFTER_S = 0.5
+# Retry-After, in seconds, of requests that no region may serve until the configuration changes.
+NO_REGION_RETRY_AFTER_S = 5.0
 MS_PER_S = 1000
 # Statuses with which a daemon promises that a request has not run and will not.
 PROMISES = frozenset((408, 421, 429, 503))
@@ -108,6 +111,14 @@
             self._log.write_no_route(request, identifier, table.version)
             self._send_error(request, ErrorKind.NO_ROUTE, None)
             return
+        workspace = None
+        if table.workspaces is not None:
+            identified = identify_caller(request, route, table.workspaces, self._header_names)
+            if isinstance(identified, ErrorKind):
+                await request.read_up_to(MAX_BUFFERED_BODY_BYTES)
+                self._refuse_request(request, identifier, identified, None)
+                return
+            workspace = identified
         service = self._traffic_splitter.pick_service(route, table.version)
         time_left_s = self._read_time_left_s(request, route)
         progress = RequestProgress(
@@ -117,8 +128,15 @@
             request.arrival_s + min(time_left_s, route.timeout_s),
             identifier,
             self._read_object_key(request, route) or identifier,
-            self._caller_retries.estimate_waited_s(route, time_left_s, request.arrival_s),
+            self._caller_retries.estimate_waited_s(
+                route, time_left_s, request.arrival_s, workspace.name if workspace else None
+            ),
+            workspace=workspace,
         )
+        if progress.allowed_regions is None:
+            await request.read_up_to(MAX_BUFFERED_BODY_BYTES)
+            self._finish_with_error(request, progress, ErrorKind.NO_REGION, NO_REGION_RETRY_AFTER_S)
+            return
         self._retry_shares[service].count_request(request.arrival_s)
         try:
             async with asyncio.timeout_at(progress.deadline_s):
@@ -128,7 +146,10 @@
             return
         progress.body_buffered = isinstance(body, WholeBody)
         progress.fingerprint = fingerprint_request(
-            request, body.content, (self._header_names.object_key,)
+            request,
+            body.content,
+            (self._header_names.object_key,),
+            workspace.name if workspace else None,
         )
         try:
             await self._try_endpoints(request, body, progress, table)
--- a/lycheepin/names.py
+++ b/lycheepin/names.py
@@ -18,6 +18,7 @@
     "Resource",
     "Revision",
     "ServiceName",
+    "WorkspaceName",
     "ZoneName",
 ]
 
@@ -28,6 +29,7 @@
 ClassName = NewType("ClassName", str)
 RegionName = NewType("RegionName", str)
 ZoneName = NewType("ZoneName", str)
+WorkspaceName = NewType("WorkspaceName", str)
 Address = NewType("Address", str)
 Incarnation = NewType("Incarnation", int)
 Revision = NewType("Revision", int)
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -12,6 +12,7 @@
 from enum import Enum
 from typing import Any
 
+import msgspec
 from msgspec import Struct
 
 from lycheepin.decoding import (
@@ -19,6 +20,7 @@
     Count,
     Milliseconds,
     OptionalText,
+    Quantity,
     SlotCount,
     Text,
     create_decoder,
@@ -33,7 +35,7 @@
     decode_suspicion,
 )
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.names import EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.names import EndpointId, RegionName, ServiceName, WorkspaceName, ZoneName
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.routes import (
     CallerLimits,
@@ -44,6 +46,7 @@
     ServiceSpec,
 )
 from lycheepin.steering.suspects import Suspicion
+from lycheepin.steering.workspaces import Workspace, WorkspaceKeys
 
 __all__ = [
     "HEADER_NAMES",
@@ -75,9 +78,10 @@
     signature=b"response-signature",
     load=b"server-load",
     rate_limit=b"server-limit",
+    workspace=b"tenant",
 )
 
-_ENDPOINT_NAME = re.compile(r"[!-~]{1,200}")
+_ENDPOINT_NAME = _WORKSPACE_NAME = re.compile(r"[!-~]{1,200}")
 
 
 class _EndpointState(Enum):
@@ -104,6 +108,16 @@
 _decode_endpoint_fields = create_decoder(_EndpointFields)
 
 
+class _WorkspaceFields(Struct, rename="camel"):
+    """Fields of a workspace in the configuration."""
+
+    api_keys: list[str] = []
+    priority: Count | None = None
+    rate_per_s: Quantity | None = None
+    burst: Quantity | None = None
+    home_regions: list[Text] | None = None
+
+
 @dataclass(frozen=True)
 class ConfigurationEntry:
     """One version of the configuration."""
@@ -219,6 +233,30 @@
             limits["headerTimeoutMs"] / MS_PER_S,
             limits["idleTimeoutMs"] / MS_PER_S,
         ),
+        _decode_workspaces(document["tenants"]) if document.get("tenants") else None,
+    )
+
+
+def _decode_workspaces(table: Any) -> WorkspaceKeys:
+    """Returns the workspaces with their keys; the table has them by name."""
+    decoded = {
+        WorkspaceName(name): msgspec.convert(fields, _WorkspaceFields)
+        for name, fields in table.items()
+    }
+    if not all(_WORKSPACE_NAME.fullmatch(name) for name in decoded):
+        raise ValueError("a workspace has a name that no header can carry")
+    return WorkspaceKeys.from_keys(
+        (
+            Workspace(
+                name,
+                fields.priority,
+                fields.rate_per_s or 0.0,
+                fields.burst or 0.0,
+                frozenset(RegionName(region) for region in fields.home_regions or ()),
+            ),
+            fields.api_keys,
+        )
+        for name, fields in decoded.items()
     )
 
 
@@ -245,6 +283,7 @@
         max_attempts=int(route.get("maxAttempts") or DEFAULT_ATTEMPTS),
         sticky=bool(route.get("sessionAffinity")),
         allowed_regions=frozenset(RegionName(region) for region in route.get("homeRegions") or ()),
+        is_public=route.get("public") is True,
     )
 
 
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import os
 from collections.abc import Coroutine
 from typing import Any
 from urllib.parse import parse_qs
 
+from lycheepin.gateway.file_watch import watch_file
 from lycheepin.gateway.following import StoreSynchronizer
 from lycheepin.gateway.own_entries import DAEMON_PREFIX, encode_daemon, encode_suspicion
 from lycheepin.gateway.process import LOOKUP_LIFETIME_S, Gateway, run_gateway
@@ -29,9 +29,6 @@
 DIRECTORY_PATH = "/api/resolve"
 METRICS_PATH = "/metrics"
 EXIT_BAD_SETTINGS = 2
-# Interval in seconds of the checks for a changed settings file; below the 2.5 s within which
-# configurations must be in force.
-SETTINGS_POLL_S = 1.0
 
 _JSON = [(b"Content-Type", b"application/json")]
 _TEXT = [(b"Content-Type", b"text/plain; version=0.0.4")]
@@ -67,13 +64,12 @@
         gateway.suspicions.publisher = suspicions
         gateway.state.on_suspicion_removed = suspicions.restore
         gateway.state.on_suspicions_listed = suspicions.restore_missing
-        watch = self._watch_settings(gateway)
         return [
             synchronizer.follow_store(),
             synchronizer.run_entry_expiry(),
             self._registration.maintain_entry(),
             suspicions.run(),
-            watch,
+            watch_file(self._settings_path, lambda: self.reload_settings(gateway)),
         ]
 
     async def deregister(self) -> None:
@@ -93,23 +89,6 @@
             self._store.address = settings.store
             self._reader.change_zones(settings.zones, gateway.replica.items)
 
-    async def _watch_settings(self, gateway: Gateway) -> None:
-        """Reloads the settings when the file's modification time changes; runs until cancelled."""
-        last_mtime_ns = self._settings_mtime_ns()
-        while True:
-            await asyncio.sleep(SETTINGS_POLL_S)
-            mtime_ns = self._settings_mtime_ns()
-            if mtime_ns != last_mtime_ns:
-                last_mtime_ns = mtime_ns
-                self.reload_settings(gateway)
-
-    def _settings_mtime_ns(self) -> int | None:
-        """Returns the settings file's modification time in nanoseconds; None without a file."""
-        try:
-            return os.stat(self._settings_path).st_mtime_ns  # noqa: PTH116 - see load_settings
-        except OSError:
-            return None  # the file is being replaced, or a test has none; checked again later
-
     def answer_call(self, gateway: Gateway, request: IncomingRequest) -> None:
         """Answers a readiness check, a directory look-up or a request for metrics."""
         path = request.path
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -4,9 +4,9 @@
 
 import tomllib
 from collections.abc import Mapping
-from dataclasses import dataclass
 from typing import Any
 
+from lycheepin.decoding import parse_assignments
 from lycheepin.gateway.settings import GatewaySettings, SocketAddress
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
@@ -27,33 +27,6 @@
     """The settings file is missing, malformed or incomplete."""
 
 
-@dataclass(frozen=True)
-class _Bounds:
-    """Numeric limits that the settings file lists as `name=value` strings."""
-
-    values: Mapping[str, float]
-
-    @classmethod
-    def parse(cls, bounds: Any) -> _Bounds:
-        """Parses a list of `name=value` strings, or one string that separates them by commas.
-
-        Items whose value is not a number are ignored.
-        """
-        items = bounds.split(",") if isinstance(bounds, str) else bounds
-        values: dict[str, float] = {}
-        for item in items if isinstance(items, list) else []:
-            name, _, value = str(item).partition("=")
-            try:
-                values[name.strip()] = float(value)
-            except ValueError:
-                continue  # a flag such as `closed=true`, which gateways don't use
-        return cls(values)
-
-    def get(self, name: str, default: float) -> float:
-        """Returns the value of a bound, or `default` if the file doesn't list it."""
-        return self.values.get(name, default)
-
-
 def load_settings(path: str) -> GatewaySettings:
     """Reads a settings file; raises SettingsError with the path and the reason."""
     try:
@@ -67,7 +40,7 @@
 def decode_settings(document: Mapping[str, Any]) -> GatewaySettings:
     """Builds the settings from a parsed file; raises SettingsError naming the field."""
     try:
-        bounds = _Bounds.parse(document.get("bounds", []))
+        bounds = parse_assignments(document.get("bounds", []))
         listen = document["listen"]
         limits = document.get("limits", {})
         return GatewaySettings(
@@ -97,7 +70,7 @@
             min_lease_s=float(document["platform"].get("ttlMinMs", 0)) / MS_PER_S,
             heartbeat_s=float(document.get("heartbeatIntervalMs", DEFAULT_HEARTBEAT_S * MS_PER_S))
             / MS_PER_S,
-            max_shift=bounds.values.get("maxShift"),
+            max_shift=bounds.get("maxShift"),
             link_mbps=float(limits.get("linkMbps", 0.0)),
             # `cpuShare` is a share of one core, and that core is `cores` times as fast
             processors=float(limits.get("cpuShare", 0.0)) * float(limits.get("cores", 1)),
--- a/lycheepin/steering/choices.py
+++ b/lycheepin/steering/choices.py
@@ -7,6 +7,7 @@
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, RegionName, ServiceName
 from lycheepin.steering.endpoint import Endpoint
+from lycheepin.steering.workspaces import Workspace
 
 __all__ = [
     "AttemptRequirements",
@@ -24,7 +25,7 @@
     `target_at_s` and `deadline_s` are monotonic times in seconds. `allowed_regions` is empty when
     any region may serve the request. `jitter` is a number from 0 to 1, fixed for each request,
     that spreads the retries of callers. `is_caller_retry` is true when the caller repeats a request
-    that was refused or failed.
+    that was refused or failed. `workspace` is the one that the caller belongs to, or None.
     """
 
     service: ServiceName
@@ -36,6 +37,7 @@
     tried: frozenset[EndpointId] = frozenset()
     jitter: float = 0.5
     is_caller_retry: bool = False
+    workspace: Workspace | None = None
 
 
 @dataclass(frozen=True)
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -11,7 +11,7 @@
 from zlib import crc32
 
 from lycheepin.errors import ErrorKind
-from lycheepin.names import EndpointId, ServiceName
+from lycheepin.names import EndpointId, RegionName, ServiceName
 from lycheepin.steering.budgets import RetryBudgetShare
 from lycheepin.steering.choices import AttemptRequirements
 from lycheepin.steering.dispatch import Dispatcher
@@ -19,6 +19,7 @@
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.routes import RequestKind, Route
 from lycheepin.steering.suspects import Fingerprint
+from lycheepin.steering.workspaces import Workspace, intersect_regions
 
 __all__ = [
     "FIRST_FAILURE_STATUS",
@@ -87,7 +88,8 @@
     `waited_s` is how long the caller had waited before this request, 0 unless it is a caller
     retry. `body_buffered` is true while the whole body is buffered, so that it can be sent again.
     `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections.
-    `fingerprint` is the same for all requests like it.
+    `fingerprint` is the same for all requests like it. `workspace` is that of the
+    caller, None if it needs none.
     """
 
     route: Route
@@ -103,6 +105,7 @@
     tried: set[EndpointId] = field(default_factory=set)
     may_have_run: bool = False
     fingerprint: Fingerprint = Fingerprint("")
+    workspace: Workspace | None = None
 
     def build_requirements(self, excluding: EndpointId | None = None) -> AttemptRequirements:
         """Returns the requirements of the next attempt, without tried endpoints.
@@ -113,15 +116,30 @@
         return AttemptRequirements(
             self.service,
             self.object_key,
-            self.route.priority,
-            self.route.allowed_regions,
+            self.priority,
+            self.allowed_regions or frozenset(),
             self.arrival_s - self.waited_s + self.route.target_s,
             self.deadline_s,
             frozenset(tried),
             (crc32(self.identifier.encode()) & _JITTER_MASK) / _JITTER_MASK,
             self.waited_s > 0.0,
+            self.workspace,
         )
 
+    @property
+    def priority(self) -> int:
+        """The priority of the request; that of its workspace precedes that of its route."""
+        if self.workspace is None or self.workspace.priority is None:
+            return self.route.priority
+        return self.workspace.priority
+
+    @property
+    def allowed_regions(self) -> frozenset[RegionName] | None:
+        """The regions that may serve the request; empty for any, None if none may."""
+        if self.workspace is None:
+            return self.route.allowed_regions
+        return intersect_regions(self.route.allowed_regions, self.workspace.allowed_regions)
+
     @property
     def may_resend(self) -> bool:
         """Whether the request may be sent to another endpoint after the present attempt."""
--- a/lycheepin/steering/routes.py
+++ b/lycheepin/steering/routes.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from lycheepin.names import RegionName, ServiceName
+from lycheepin.steering.workspaces import WorkspaceKeys
 
 __all__ = [
     "CallerLimits",
@@ -41,7 +42,7 @@
     `timeout_s` is the longest time from arrival to the final answer, `target_s` the time in which
     an answer should come. `priority` 0 is the highest. The requests of a `sticky` route with the
     same object key prefer the same endpoints. `allowed_regions` is empty when any region may serve
-    the route.
+    the route. Requests of a public route need no key of a workspace.
     """
 
     name: str
@@ -55,6 +56,7 @@
     max_attempts: int
     sticky: bool
     allowed_regions: frozenset[RegionName]
+    is_public: bool = False
 
 
 @dataclass(frozen=True)
@@ -88,12 +90,16 @@
 
 @dataclass(frozen=True)
 class RoutingTable:
-    """The routes of one version by their host in lower case, and its services and limits."""
+    """The routes of one version by their host in lower case, and its services and limits.
+
+    `workspaces` is None in a deployment without workspaces, whose requests carry no keys.
+    """
 
     version: int
     services: dict[ServiceName, ServiceSpec]
     limits: CallerLimits
     by_host: dict[str, tuple[Route, ...]] = field(default_factory=dict)
+    workspaces: WorkspaceKeys | None = None
 
     @classmethod
     def from_routes(
@@ -102,6 +108,7 @@
         routes: Iterable[Route],
         services: dict[ServiceName, ServiceSpec],
         limits: CallerLimits,
+        workspaces: WorkspaceKeys | None = None,
     ) -> RoutingTable:
         """Returns a table of routes, which matches longer prefixes first."""
         by_host: dict[str, list[Route]] = {}
@@ -111,7 +118,7 @@
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in by_host.items()
         }
-        return cls(version, services, limits, ordered)
+        return cls(version, services, limits, ordered, workspaces)
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route of a host in lower case with the longest prefix of `path`, or None."""
--- a/tests/gateway/deployment.py
+++ b/tests/gateway/deployment.py
@@ -56,13 +56,13 @@
         await self.asyncSetUp()
 
     async def add_endpoint(
-        self, name: str, script: Script = answer_ok, **entry: Any
+        self, name: str, script: Script = answer_ok, zone: str = "north-1", **entry: Any
     ) -> EndpointStandIn:
         """Starts an endpoint stand-in and registers it in the store."""
         endpoint = EndpointStandIn(HOST, script)
         await endpoint.start()
         self.endpoints.append(endpoint)
-        self.store.put(f"servers/{name}", endpoint.build_entry("north-1", **entry))
+        self.store.put(f"servers/{name}", endpoint.build_entry(zone, **entry))
         return endpoint
 
     async def add_gateway(self, name: str = "daemon-1", **changes: Any) -> Gateway:
