Load reports of four figures are read, and the present slowness of an endpoint's machine counts

Cause: endpoints of some services add a fourth figure to their load report, how long work takes on their machine at this moment. The reader took exactly three figures, so with four the whole report was dropped: the load of these endpoints was never learned, and each refusal counted as one for lack of slots. Change: three, four and more figures are read; a bad fourth one leaves the first three, further ones are ignored. An endpoint keeps the slowness with its age (it decays to usual with 0.3 s); the expected answer time is multiplied by it, and durations of answers are divided by the slowness reported with them before they enter the mean. With three figures all results are as before.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -12,6 +12,7 @@
 from lycheepin.gateway.answer_matcher import AnswerMatcher
 from lycheepin.gateway.decisions import DecisionLog
 from lycheepin.gateway.dialect import HeaderNames
+from lycheepin.gateway.load_report import LoadReport, decode_load_report
 from lycheepin.gateway.response_watchdog import ResponseWatchdog
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
@@ -105,7 +106,11 @@
                     connection, request, body, endpoint, deadline_s, matcher
                 )
             if isinstance(outcome, EndpointAnswer):
-                self._registry.observe_answer(endpoint, loop.time(), loop.time() - started_s)
+                report = self._decode_load(outcome.head)
+                slowness = report.slowness if report is not None else None
+                self._registry.observe_answer(
+                    endpoint, loop.time(), loop.time() - started_s, slowness or 1.0
+                )
         except (BrokenAnswer, OSError, TimeoutError) as error:
             outcome = self._classify_error(connection, error, loop.time() >= deadline_s)
             if connection is not None and connection.sent and not connection.answer_begun:
@@ -219,14 +224,19 @@
 
         Also returns true if the report is missing or malformed: free slots are then unknown.
         """
+        report = self._decode_load(head)
+        if report is None:
+            return True
+        now_s = asyncio.get_running_loop().time()
+        endpoint.observe_load(now_s, report.running, report.waiting)
+        if report.slowness is not None:
+            endpoint.observe_slowness(now_s, report.slowness)
+        return report.is_full
+
+    def _decode_load(self, head: AnswerHead) -> LoadReport | None:
+        """Returns the load that an answer reports; None if it is missing or malformed."""
         value = head.header(self._header_names.load)
-        parts = value.split(b",") if value is not None else []
-        match [parse_count(part.strip()) for part in parts]:
-            case [int(running), int(waiting), int(slots)]:
-                now_s = asyncio.get_running_loop().time()
-                endpoint.observe_load(now_s, running, waiting)
-                return running + waiting >= slots
-        return True
+        return decode_load_report(value) if value is not None else None
 
     def _observe_rate_limit(self, endpoint: Endpoint, head: AnswerHead, sent_s: float) -> None:
         """Records the limit that an answer names, or that it names none, and logs a change.
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -26,6 +26,9 @@
 # indefinitely.
 LOAD_DECAY_S = 3.0
 PROCESSING_DECAY_S = 5.0
+# Time constant in seconds with which the slowness that an endpoint reported decays to 1: it changes
+# many times a second.
+SLOWNESS_DECAY_S = 0.3
 # First exclusion of a failed endpoint in seconds; doubled with each further one up to the maximum.
 FIRST_EXCLUSION_S = 0.5
 MAX_EXCLUSION_S = 4.0
@@ -95,6 +98,8 @@
     _extra_processing_updated_s: float = 0.0
     _rejected_fraction: float = 0.0
     _rejected_fraction_updated_s: float = 0.0
+    _slowness: float = 1.0
+    _slowness_updated_s: float = -inf
 
     def __post_init__(self) -> None:
         """Prepares the hash of the endpoint, which placement adds the keys of objects to."""
@@ -174,6 +179,21 @@
         self._in_flight_at_reports += SMOOTHING * (self.in_flight - self._in_flight_at_reports)
         self._other_requests_updated_s = now_s
 
+    @property
+    def reports_slowness(self) -> bool:
+        """Whether it has reported how slow its machine is."""
+        return isfinite(self._slowness_updated_s)
+
+    def slowness(self, now_s: float) -> float:
+        """Returns the factor by which work is expected to take longer there than usual."""
+        decay = exp((self._slowness_updated_s - now_s) / SLOWNESS_DECAY_S)
+        return 1.0 + (self._slowness - 1.0) * decay
+
+    def observe_slowness(self, now_s: float, slowness: float) -> None:
+        """Records the factor by which work takes longer there than usual, as it reports it."""
+        self._slowness = slowness
+        self._slowness_updated_s = now_s
+
     def rejected_fraction(self, now_s: float) -> float:
         """Returns the recent fraction of requests that it rejected or failed, from 0 to 1."""
         return self._rejected_fraction * exp(
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -107,11 +107,16 @@
         """Returns the moving average of a service's processing time in seconds."""
         return self._mean_processing_s.get(service, INITIAL_PROCESSING_S)
 
-    def observe_answer(self, endpoint: Endpoint, now_s: float, duration_s: float) -> None:
-        """Updates processing times with the duration of an answer, less its estimated wait."""
+    def observe_answer(
+        self, endpoint: Endpoint, now_s: float, duration_s: float, slowness: float = 1.0
+    ) -> None:
+        """Updates processing times with the duration of an answer, less its estimated wait.
+
+        `slowness` is the factor by which work took longer there, as reported with the answer.
+        """
         service = endpoint.record.service
         crowding = max(1.0, endpoint.load(now_s) / endpoint.record.slots)
-        processing_s = duration_s / crowding
+        processing_s = duration_s / (crowding * slowness)
         mean_s = self.mean_processing_s(service)
         self._answers[service] = self._answers.get(service, 0) + 1
         weight = max(SERVICE_SMOOTHING, 1 / self._answers[service])
@@ -125,10 +130,10 @@
         endpoint, the time that it has not answered.
         """
         slots = endpoint.record.slots
-        processing_s = max(
-            MIN_PROCESSING_S,
-            self.mean_processing_s(endpoint.record.service) + endpoint.extra_processing_s(now_s),
+        usual_s = self.mean_processing_s(endpoint.record.service) + endpoint.extra_processing_s(
+            now_s
         )
+        processing_s = max(MIN_PROCESSING_S, usual_s * endpoint.slowness(now_s))
         excess = max(0.0, endpoint.load(now_s) + 1 - CROWDED_FRACTION * slots)
         answer_s = processing_s * (1 + excess / slots) + REJECTION_COST_S * (
             endpoint.rejected_fraction(now_s)
--- a/tests/steering/test_fleet.py
+++ b/tests/steering/test_fleet.py
@@ -1,7 +1,7 @@
 import unittest
 
 from lycheepin.names import EndpointId, ZoneName
-from lycheepin.steering.endpoint import MAX_EXCLUSION_S, MAX_GROWTH
+from lycheepin.steering.endpoint import MAX_EXCLUSION_S, MAX_GROWTH, SLOWNESS_DECAY_S
 from lycheepin.steering.store_contact import REREGISTRATION_S
 from tests.steering.builders import SERVICE, build_registry, record
 
@@ -22,6 +22,28 @@
         self.assertAlmostEqual(endpoint.other_requests(0.0), 3.0, places=1)
 
 
+class UnevenMachines(unittest.TestCase):
+    """Load: endpoints whose machines slow them 2.5 times, for parts of a second."""
+
+    def test_slow_endpoint_is_expected_to_answer_later_until_its_report_has_aged(self) -> None:
+        registry = build_registry(record("a"), record("b"))
+        slow, usual = registry.all()
+        slow.observe_slowness(10.0, 2.5)
+        usual_s = registry.predict_answer_s(usual, 10.0)
+        self.assertAlmostEqual(registry.predict_answer_s(slow, 10.0), 2.5 * usual_s)
+        aged_s = registry.predict_answer_s(slow, 10.0 + SLOWNESS_DECAY_S)
+        self.assertTrue(usual_s < aged_s < 2 * usual_s, aged_s)
+        self.assertAlmostEqual(registry.predict_answer_s(slow, 20.0), usual_s, places=6)
+
+    def test_mean_stays_that_of_a_usual_machine(self) -> None:
+        registry = build_registry(record("a"))
+        endpoint = next(registry.all())
+        for step in range(40):
+            slowness = 2.5 if step % 2 else 1.0
+            registry.observe_answer(endpoint, float(step), 0.2 * slowness, slowness)
+        self.assertAlmostEqual(registry.mean_processing_s(SERVICE), 0.2)
+
+
 class Registration(unittest.TestCase):
     def test_missing_entry_removes_the_endpoint_while_the_store_answers(self) -> None:
         registry = build_registry(record("a"), record("b"))
