A reset after the end of the stream breaks an answer; a status of 000 is no answer

Cause: the end of the stream was taken for the end of the answer whatever followed; the parser takes any three digits, HTTP/0.9, HTTP/2.0 and RTSP, and nothing checked them. Ruled out, kept as guards: a reset without an end of the stream (beside bytes, after the part was read, with unread bytes at the endpoint, with reading paused) always broke the answer. 1000, signed numbers, letters, a missing status and interim heads without end always broke it. Change: an answer without a length to a request that wasn't sent in full ends 0.25 s after its stream unless the connection is reset by then. What is no answer breaks the connection. Short calls check the end of an answer as attempts do. A follower takes updates of a peer only with a length and whole: the codec lets a message pass that breaks off between two fields. The client of the stand-ins no longer leaves the failure of its sending unretrieved.

--- a/lycheepin/gateway/relay.py
+++ b/lycheepin/gateway/relay.py
@@ -114,6 +114,9 @@
     match answer:
         case CallFailure(reason=reason):
             return reason
+        case CallAnswer() if answer.header(b"content-length") is None:
+            # The codec takes a message that breaks off between two fields for a whole one.
+            return "answer without a length"
         case CallAnswer(status=200, body=body):
             try:
                 message = deserialize(RelayAnswer(), body, _PROTOCOL_FACTORY)
@@ -148,13 +151,19 @@
 
 
 def decode_updates(answer: RelayAnswer, store: str) -> Listing | Changes:
-    """Returns the updates of an answer; raises ValueError for one of another deployment."""
+    """Returns the updates of an answer.
+
+    Raises ValueError for one of another deployment and for updates that are not whole.
+    """
     if answer.store != store:
         raise ValueError(f"store {answer.store!r} belongs to another deployment")
     as_of = Position(answer.era, answer.revision)
     entries: list[StoreEntry] = []
     if answer.news:
-        content = zlib.decompressobj().decompress(_to_bytes(answer.news), MAX_UPDATES_BYTES)
+        decompressor = zlib.decompressobj()
+        content = decompressor.decompress(_to_bytes(answer.news), MAX_UPDATES_BYTES)
+        if not decompressor.eof:
+            raise ValueError(f"updates truncated or larger than {MAX_UPDATES_BYTES} bytes")
         entries = deserialize(StoreNews(), content, _PROTOCOL_FACTORY).entries
     events = tuple(
         (
--- a/lycheepin/transport/calls.py
+++ b/lycheepin/transport/calls.py
@@ -81,6 +81,7 @@
                 connection.send_request_head(head + body)
                 answer = await connection.head()
                 content = await _read_all(connection, timer, timeout_s)
+                await self._pool.check_end(address, port, connection)
         except (BrokenAnswer, OSError, TimeoutError) as error:
             if connection is not None:
                 connection.close()
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import math
+import socket
 from collections import deque
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
@@ -28,6 +29,15 @@
 # Limit on an element of an answer that has not ended, and on interim heads before an answer.
 MAX_ELEMENT_BYTES = 64 * 1024
 MAX_INTERIM_HEADS = 16
+# Statuses of the protocol, and the versions of it that are spoken on these connections.
+STATUSES = range(100, 600)
+VERSIONS = frozenset(("1.0", "1.1"))
+# First byte of an answer; the parser also takes start lines of other protocols.
+FIRST_BYTES = (b"H", b"")
+SWITCHING_PROTOCOLS = 101
+# Time in seconds for which a reset may follow the end of an answer without a length to a request
+# that was not sent in full: an endpoint that has closed the connection resets it then.
+RESET_WAIT_S = 0.25
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_PER_TARGET = 64
 IDLE_LIMIT_S = 4.0
@@ -65,6 +75,7 @@
     `rested_s` is how long it was idle before the present request; 0 for the first one.
     `reused` is true if it has carried another request before the present one.
     `answer_begun` is true once any byte has arrived after the present request.
+    `sending_body` is true while parts of the present request's body are still to be handed over.
     """
 
     def __init__(self) -> None:
@@ -92,6 +103,7 @@
         self.sent = False
         self.reused = False
         self.answer_begun = False
+        self.sending_body = False
         self.close_after_use = False
         self.idle_since_s = 0.0
         self.rested_s = 0.0
@@ -103,13 +115,38 @@
         self._transport = transport
         self._writable.set()
 
-    def eof_received(self) -> None:
-        """Called by asyncio; the end of the stream ends an answer without a length."""
+    def eof_received(self) -> bool:
+        """Called by asyncio; the end of the stream ends an answer without a length.
+
+        Returns whether the connection is kept: until RESET_WAIT_S later, if the request was not
+        sent in full.
+        """
         head_arrived = self._head is not None and self._head.done() and not self._head.exception()
-        if self._ends_at_close and head_arrived and not self._complete:
-            self._complete = True
-            self._keep_alive = False
-            self._body_changed.set()
+        if not self._ends_at_close or not head_arrived or self._complete:
+            return False
+        assert self._transport is not None
+        if self.sending_body or self._transport.get_write_buffer_size() > 0:
+            asyncio.get_running_loop().call_later(RESET_WAIT_S, self._end_unless_reset)
+            return True
+        self._end_with_stream()
+        return False
+
+    def _end_unless_reset(self) -> None:
+        """Ends an answer without a length, or fails it if the connection was reset meanwhile."""
+        if self._failure is not None or self._transport is None:
+            return
+        connection = self._transport.get_extra_info("socket")
+        error = connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            self._fail(f"connection reset after the end of its stream: error {error}")
+        else:
+            self._end_with_stream()
+
+    def _end_with_stream(self) -> None:
+        """Ends an answer without a length."""
+        self._complete = True
+        self._keep_alive = False
+        self._body_changed.set()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by asyncio when the connection is closed; fails a request in progress."""
@@ -128,10 +165,14 @@
         if not self._used or self._complete:
             self._fail("unexpected data outside a request")
             return
+        begins = not self.answer_begun
         self.answer_begun = True
+        if begins and data.lstrip(b"\r\n")[:1] not in FIRST_BYTES:
+            self._fail("malformed HTTP: no answer")
+            return
         try:
             self._progress_limit.feed(self._parser.feed_data, data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self._fail(f"malformed HTTP: {error}")
         except EndlessElement as error:
             self._fail(str(error))
@@ -160,6 +201,10 @@
         status = self._parser.get_status_code()
         if self._extra_message:
             return
+        version = self._parser.get_http_version()
+        if status not in STATUSES or status == SWITCHING_PROTOCOLS or version not in VERSIONS:
+            self._fail(f"status {status} of HTTP/{version} is no answer")
+            return
         if _is_interim(status):
             self._headers = []
             self._continue_or_head.set()
@@ -265,6 +310,7 @@
         self._continue_or_head.clear()
         self.sent = True
         self.answer_begun = False
+        self.sending_body = False
         self._transport.write(head)
 
     async def send_body(self, data: bytes) -> None:
@@ -316,7 +362,7 @@
 
 def _is_interim(status: int) -> bool:
     """Returns whether an answer is interim, so that another head follows it."""
-    return 100 <= status < 200 and status != 101
+    return 100 <= status < 200
 
 
 def _ends_with_connection(head: AnswerHead) -> bool:
--- a/lycheepin/transport/streaming.py
+++ b/lycheepin/transport/streaming.py
@@ -25,11 +25,13 @@
     read the next request as the rest of this body.
     """
     answered = asyncio.ensure_future(connection.wait_for_head())
+    connection.sending_body = True
     try:
         while (chunk := await _read_next(read_chunk, answered)) is not None:
             if not chunk:
                 if is_chunked:
                     await connection.send_body(b"0\r\n\r\n")
+                connection.sending_body = False
                 return
             framed = b"%x\r\n%b\r\n" % (len(chunk), chunk) if is_chunked else chunk
             await connection.send_body(framed)
--- a/standins/http_client.py
+++ b/standins/http_client.py
@@ -55,9 +55,13 @@
             writer.write(connection.send(h11.Data(data=body)) or b"")
             writer.write(connection.send(h11.EndOfMessage()) or b"")
             sending = asyncio.ensure_future(writer.drain())
-            answer = await _read_answer(connection, reader)
-            sending.cancel()
-            return answer
+            try:
+                return await _read_answer(connection, reader)
+            finally:
+                sending.cancel()
+                await asyncio.wait({sending})
+                if not sending.cancelled():
+                    sending.exception()  # what the reader has seen says more
     except (OSError, TimeoutError, h11.RemoteProtocolError, EOFError) as error:
         return FetchFailure(sent, repr(error))
     finally:
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -13,6 +13,7 @@
 
 __all__ = [
     "EndpointStandIn",
+    "Peer",
     "ReceivedRequest",
     "answer_ok",
     "build_answer",
@@ -37,6 +38,8 @@
 
 
 Script = Callable[[ReceivedRequest], Awaitable[bytes]]
+# What a server does on a connection.
+Peer = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
 
 
 def build_answer(
--- a/tests/gateway/test_mirror.py
+++ b/tests/gateway/test_mirror.py
@@ -170,6 +170,15 @@
         with self.assertRaises(ValueError):
             decode_updates(make_answer(Changes((), at(1)), "s:1"), "s:2")
 
+    # Guards against a part of the updates being used, and the rest never asked for.
+    def test_updates_that_break_off_raise_value_error(self) -> None:
+        answer = make_answer(Changes((make_item("a", 3),), at(9)), "s:1")
+        whole = answer.news
+        for size in range(1, len(whole)):
+            answer.news = whole[:size]
+            with self.subTest(size=size), self.assertRaises(ValueError):
+                decode_updates(answer, "s:1")
+
     def test_large_configuration_is_compressed_to_less_than_a_fifth(self) -> None:
         table = configuration(7, routes=1300)
         value = json.dumps(table).encode()
