A second endpoint for requests that wait longer than almost all others, where endpoints are uneven

Cause: 3 in 100 requests take seven times as long, and machines slow their endpoints 2.5 times for parts of a second; such a request waited for its first endpoint until the route's timeout. Change: lycheepin/steering/hedging.py decides, from the running 0.95 quantile of the answer times of a route at a service, when another endpoint is asked; only for idempotent requests with the whole body and an attempt left, where endpoints report their slowness and the times have a tail (0.97 quantile at least twice the median), another endpoint has room, the service refuses fewer than about 1 in 20, half of the retry share isn't used yet, and second attempts win often enough. gateway/hedged_attempt.py makes the attempts: the first good answer counts, the other attempt is cancelled; its endpoint counts as slow, and is excluded after three such requests without an answer between. Tests: tests.gateway.test_hedged_attempts (8), tests.steering.test_hedging (7), tests.experiments. test_uneven (4) passed; four of the gateway tests failed on mutated code as they should.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -80,9 +80,12 @@
         endpoint: Endpoint,
         deadline_s: float,
         may_abandon: Callable[[], bool],
+        on_head: Callable[[], None] = lambda: None,
     ) -> AttemptOutcome:
         """Sends a request to an endpoint and returns the outcome.
 
+        `on_head` is called when the head of the answer has arrived.
+
         If the endpoint becomes unresponsive, the attempt ends early once `may_abandon` returns
         true. If the task is cancelled, because the caller has left, the connection is closed.
         """
@@ -103,7 +106,7 @@
                     connection, request, endpoint, timer, watchdog.limit_s
                 )
                 outcome = await self._send_request(
-                    connection, request, body, endpoint, deadline_s, matcher
+                    connection, request, body, endpoint, deadline_s, matcher, on_head
                 )
             if isinstance(outcome, EndpointAnswer):
                 report = self._decode_load(outcome.head)
@@ -158,6 +161,7 @@
         endpoint: Endpoint,
         deadline_s: float,
         matcher: AnswerMatcher,
+        on_head: Callable[[], None],
     ) -> AttemptOutcome:
         """Sends the request and returns the answer, or that the request did not run."""
         sent_s = asyncio.get_running_loop().time()
@@ -173,6 +177,7 @@
                 await connection.send_body(b"\r\n")
             await stream_body(connection, request.read_chunk, is_chunked)
         head = await connection.head()
+        on_head()
         connection.idle_limit_s = _read_idle_limit_s(head)
         if head.header(self._header_names.request_id) is None:
             # A copy of it could not be told from the answer to a later request.
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -7,8 +7,9 @@
 
 from lycheepin.decoding import parse_count
 from lycheepin.errors import ErrorKind, Fault
-from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
+from lycheepin.gateway.attempt import AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
+from lycheepin.gateway.hedged_attempt import RequestAttempts
 from lycheepin.gateway.identification import identify_caller
 from lycheepin.gateway.request_log import RequestLog
 from lycheepin.metrics import Metrics
@@ -16,18 +17,14 @@
 from lycheepin.quarantine.exchange import SuspicionExchange
 from lycheepin.quarantine.fingerprints import fingerprint_request
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
-from lycheepin.steering.choices import Refusal, SelectedEndpoint
+from lycheepin.steering.choices import Refusal
 from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Dispatcher
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.progress import (
     FIRST_FAILURE_STATUS,
-    AttemptResult,
-    NotRun,
-    OutcomeUnknown,
     RequestProgress,
-    Served,
 )
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import RequestKind, Route, RoutingTable, TrafficSplitter
@@ -85,6 +82,17 @@
         self._retry_shares: defaultdict[ServiceName, RetryBudgetShare] = defaultdict(
             lambda: RetryBudgetShare(self._budget_limits)
         )
+        self._attempts = RequestAttempts(
+            attempt_runner,
+            registry,
+            dispatcher,
+            self._retry_shares,
+            carriers,
+            suspicions,
+            lambda: self.drain is not None,
+            log,
+            metrics,
+        )
         self.table: RoutingTable | None = None
         self.drain: DrainSchedule | None = None
 
@@ -190,11 +198,13 @@
             choice = self._dispatcher.choose_endpoint(
                 progress.build_requirements(), spec, loop.time()
             )
+            self._attempts.observe_choice(progress.service, isinstance(choice, Refusal))
             if isinstance(choice, Refusal):
                 self._log.write_not_placed(progress, choice)
                 self._finish_with_error(request, progress, choice.kind, choice.retry_after_s)
                 return
-            outcome, result = await self._make_attempt(request, body, progress, choice)
+            ended = await self._attempts.make_attempt(request, body, progress, choice, spec)
+            outcome, result = ended.outcome, ended.result
             if (
                 progress.is_retryable(result)
                 and self._suspicions.may_resend(progress.fingerprint)
@@ -204,7 +214,7 @@
             ):
                 continue
             if isinstance(outcome, EndpointAnswer):
-                await self._forward_answer(request, progress, choice.endpoint, outcome)
+                await self._forward_answer(request, progress, ended.choice.endpoint, outcome)
             else:
                 self._finish_with_error(request, progress, outcome.kind, None)
             return
@@ -227,53 +237,6 @@
         self._log.write_quarantine(request, progress, quarantined)
         self._finish_with_error(request, progress, ErrorKind.QUARANTINED, quarantined.retry_after_s)
 
-    async def _make_attempt(
-        self,
-        request: IncomingRequest,
-        body: RequestBody,
-        progress: RequestProgress,
-        choice: SelectedEndpoint,
-    ) -> tuple[AttemptOutcome, AttemptResult]:
-        """Makes one attempt and updates the state of its endpoint from the result."""
-        loop = asyncio.get_running_loop()
-        endpoint = choice.endpoint
-        started_s = loop.time()
-        outcome = await self._attempt_runner.make_attempt(
-            request,
-            body,
-            endpoint,
-            progress.deadline_s,
-            lambda: self._may_abandon(progress, endpoint),
-        )
-        result = Served(outcome.head.status) if isinstance(outcome, EndpointAnswer) else outcome
-        change = progress.record_result(result, endpoint, self._registry, loop.time())
-        self._log.write_endpoint_change(change, endpoint)
-        self._log.write_attempt(request, progress, choice, started_s, result)
-        self._observe_result(progress, endpoint, result)
-        return outcome, result
-
-    def _observe_result(
-        self, progress: RequestProgress, endpoint: Endpoint, result: AttemptResult
-    ) -> None:
-        """Passes what an attempt says about crashes of its endpoint on."""
-        match result:
-            case NotRun(kind=ErrorKind.ENDPOINT_REPLACED):
-                self._suspicions.detector.observe_end(endpoint)
-            case OutcomeUnknown(kind=ErrorKind.ENDPOINT_BROKE):
-                self._suspicions.detector.observe_break(endpoint, progress.fingerprint)
-
-    def _may_abandon(self, progress: RequestProgress, endpoint: Endpoint) -> bool:
-        """Returns whether an attempt at an unresponsive endpoint may be abandoned.
-
-        Always false while the daemon drains.
-        """
-        retry_share = self._retry_shares[progress.service]
-        now_s = asyncio.get_running_loop().time()
-        slack_fraction = self._carriers.slack_fraction(now_s)
-        return self.drain is None and progress.may_abandon_attempt(
-            endpoint, self._dispatcher, retry_share, slack_fraction, now_s
-        )
-
     async def _forward_answer(
         self,
         request: IncomingRequest,
--- a/lycheepin/gateway/request_log.py
+++ b/lycheepin/gateway/request_log.py
@@ -69,6 +69,42 @@
                 **_describe_repeatable(request, progress),
             )
 
+    def write_hedge(
+        self,
+        progress: RequestProgress,
+        first: SelectedEndpoint,
+        second: SelectedEndpoint,
+        started_s: float,
+        delay_s: float,
+    ) -> None:
+        """Logs that a second endpoint is asked, and the delay after which that was allowed."""
+        self._log.write(
+            "hedge",
+            request=progress.identifier,
+            route=progress.route.name,
+            first=first.endpoint.record.id,
+            second=second.endpoint.record.id,
+            waited_ms=int((self._now_s() - started_s) * MS_PER_S),
+            allowed_after_ms=int(delay_s * MS_PER_S),
+            slowness=round(first.endpoint.slowness(self._now_s()), 2),
+        )
+
+    def write_hedge_end(
+        self,
+        progress: RequestProgress,
+        winner: SelectedEndpoint,
+        loser: SelectedEndpoint,
+        waited_s: float,
+    ) -> None:
+        """Logs which of two endpoints answered first, and how long the other one had worked."""
+        self._log.write(
+            "hedge_end",
+            request=progress.identifier,
+            winner=winner.endpoint.record.id,
+            loser=loser.endpoint.record.id,
+            loser_waited_ms=int(waited_s * MS_PER_S),
+        )
+
     def write_endpoint_change(self, change: EndpointChange, endpoint: Endpoint) -> None:
         """Logs that an attempt found its endpoint replaced, or led to its exclusion."""
         if change.replaced:
--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -179,15 +179,15 @@
         self._expire(now_s)
         self._requests.append(now_s)
 
-    def can_spend(self, now_s: float, slack_fraction: float) -> bool:
-        """Returns whether this daemon's share covers one more retry.
+    def can_spend(self, now_s: float, slack_fraction: float, part: float = 1.0) -> bool:
+        """Returns whether a part of this daemon's share covers one more retry.
 
         The share covers the retries of the daemon's own requests and a fraction of the slack.
         """
         self._expire(now_s)
         slack = self.limits.retry_slack * slack_fraction
         allowed = SAFETY_FRACTION * (self.limits.retry_ratio * len(self._requests) + slack)
-        return len(self._retries) + 1 <= allowed
+        return len(self._retries) + 1 <= part * allowed
 
     def try_spend(self, now_s: float, slack_fraction: float) -> bool:
         """Counts a retry if the share covers it; returns whether it does."""
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -163,10 +163,13 @@
 
     def has_warm_capacity(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether an attempt would be sent to a warm endpoint now."""
+        return self.find_warm(requirements, now_s) is not None
+
+    def find_warm(self, requirements: AttemptRequirements, now_s: float) -> SelectedEndpoint | None:
+        """Returns the warm endpoint that an attempt would be sent to now; None if there is none."""
         preferred, _ = self._find_preferred(requirements, now_s)
-        return bool(preferred) and isinstance(
-            self._choose_warm(preferred, requirements, now_s), SelectedEndpoint
-        )
+        choice = self._choose_warm(preferred, requirements, now_s) if preferred else None
+        return choice if isinstance(choice, SelectedEndpoint) else None
 
     def _find_preferred(
         self, requirements: AttemptRequirements, now_s: float
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -87,6 +87,7 @@
     excluded_until_s: float = 0.0
     exclusion_s: float = 0.0
     failures: int = 0
+    silences: int = 0
     missing_since_s: float | None = None
     removed: bool = False
     id_hash: Any = field(init=False, repr=False, compare=False)
@@ -136,6 +137,7 @@
         self.in_flight -= 1
         if responded:
             self._last_response_s = now_s
+            self.silences = 0
 
     def unresponsive_s(self, now_s: float) -> float:
         """Returns the seconds without an answer while requests are in flight, else 0."""
@@ -235,9 +237,25 @@
         self.failures += 1
         if self.failures < FAILURES_TO_EXCLUDE and not exclude_now:
             return False
+        self._exclude(now_s)
+        return True
+
+    def observe_silence(self, now_s: float) -> bool:
+        """Counts a request that another endpoint answered first; returns whether it is excluded.
+
+        It is excluded after FAILURES_TO_EXCLUDE of them without any answer.
+        """
+        self.silences += 1
+        if self.silences < FAILURES_TO_EXCLUDE:
+            return False
+        self.silences = 0
+        self._exclude(now_s)
+        return True
+
+    def _exclude(self, now_s: float) -> None:
+        """Excludes the endpoint, each time for longer until it answers."""
         self.exclusion_s = min(MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * self.exclusion_s))
         self.excluded_until_s = now_s + self.exclusion_s
-        return True
 
     def observe_crash(self, now_s: float) -> None:
         """Excludes the endpoint for the longest time, as its process is known to have crashed."""
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -123,6 +123,18 @@
         self._mean_processing_s[service] = mean_s + weight * (processing_s - mean_s)
         endpoint.observe_processing(now_s, processing_s, mean_s)
 
+    def observe_silence(self, endpoint: Endpoint, now_s: float, waited_s: float) -> bool:
+        """Records that an endpoint had not answered a request after a time that others need.
+
+        Returns whether it is excluded, as it has not answered any of several requests in a row.
+        """
+        crowding = max(1.0, endpoint.load(now_s) / endpoint.record.slots)
+        processing_s = waited_s / (crowding * endpoint.slowness(now_s))
+        mean_s = self.mean_processing_s(endpoint.record.service)
+        if processing_s > mean_s + endpoint.extra_processing_s(now_s):
+            endpoint.observe_processing(now_s, processing_s, mean_s)
+        return endpoint.observe_silence(now_s)
+
     def predict_answer_s(self, endpoint: Endpoint, now_s: float) -> float:
         """Returns the expected time to an answer of an endpoint, in seconds.
 
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -87,7 +87,8 @@
 
     `waited_s` is how long the caller had waited before this request, 0 unless it is a caller
     retry. `body_buffered` is true while the whole body is buffered, so that it can be sent again.
-    `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections.
+    `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections and
+    `running` the attempts that have not ended.
     `fingerprint` is the same for all requests like it. `workspace` is that of the
     caller, None if it needs none.
     """
@@ -102,6 +103,7 @@
     body_buffered: bool = True
     sent: int = 0
     unreachable: int = 0
+    running: int = 0
     tried: set[EndpointId] = field(default_factory=set)
     may_have_run: bool = False
     fingerprint: Fingerprint = Fingerprint("")
@@ -142,10 +144,10 @@
 
     @property
     def may_resend(self) -> bool:
-        """Whether the request may be sent to another endpoint after the present attempt."""
+        """Whether the request may be sent to another endpoint besides the present attempts."""
         return (
             self.route.kind is RequestKind.IDEMPOTENT
-            and self.sent + 1 < self.route.max_attempts
+            and self.sent + max(1, self.running) < self.route.max_attempts
             and self.body_buffered
         )
 
@@ -160,10 +162,11 @@
         """Returns whether the attempt at an unresponsive endpoint may be abandoned.
 
         That requires another endpoint with capacity now: otherwise the caller would get an error
-        instead of an answer that may still arrive.
+        instead of an answer that may still arrive. Of two attempts that run, none is abandoned.
         """
         return (
-            self.may_resend
+            self.running <= 1
+            and self.may_resend
             and now_s + MIN_ATTEMPT_S < self.deadline_s
             and retry_budget.can_spend(now_s, slack_fraction)
             and dispatcher.has_warm_capacity(
@@ -171,6 +174,18 @@
             )
         )
 
+    def record_loss(
+        self, endpoint: Endpoint, registry: EndpointRegistry, waited_s: float, now_s: float
+    ) -> EndpointChange:
+        """Updates this request and an endpoint when another one answered first.
+
+        The endpoint had not answered after `waited_s` seconds.
+        """
+        self.tried.add(endpoint.record.id)
+        self.sent += 1
+        self.may_have_run = True
+        return EndpointChange(excluded=registry.observe_silence(endpoint, now_s, waited_s))
+
     def is_retryable(self, result: AttemptResult) -> bool:
         """Returns whether another endpoint may give a better result.
 
