Routes of kind `download` are idempotent

What callers would have seen: a download whose endpoint broke off was answered 502, though the page says that such requests are treated as idempotent; refusals counted it as work that may have run. Cause: every kind but `idempotent` was protected. Change: `download` may run more than once; `upload` and unknown kinds stay protected. Tests: tests.platform.test_entries failed before and passes after.

--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -68,6 +68,8 @@
 DEFAULT_TIMEOUT_S = 60.0
 # Maximum number of attempts of routes that set none.
 DEFAULT_ATTEMPTS = 1
+# Kinds of routes whose requests may run more than once.
+REPEATABLE_KINDS = ("idempotent", "download")
 
 HEADER_NAMES = HeaderNames(
     request_id=b"request-id",
@@ -261,7 +263,7 @@
 
 
 def _decode_route(name: str, route: Any) -> Route:
-    """Returns one route; any kind other than the idempotent one is treated as protected."""
+    """Returns one route; kinds other than the repeatable ones are treated as protected."""
     split = route.get("trafficSplit")
     if split:
         shares = tuple(
@@ -269,7 +271,7 @@
         )
     else:
         shares = (ServiceShare(ServiceName(route["service"]), 1.0),)
-    idempotent = route["kind"] == RequestKind.IDEMPOTENT.value
+    idempotent = route["kind"] in REPEATABLE_KINDS
     timeout_ms = route.get("timeoutMs")
     return Route(
         name=name,
