--- a/lycheepin/gateway/hedged_attempt.py
+++ b/lycheepin/gateway/hedged_attempt.py
@@ -207,6 +207,7 @@
         def observe_head() -> None:
             attempt.answer_at_s = _now_s()
 
+        slowness = endpoint.slowness(attempt.started_s)
         progress.running += 1
         try:
             outcome = await self._runner.make_attempt(
@@ -223,7 +224,7 @@
         self._observe_time(progress, attempt, result)
         change = progress.record_result(result, endpoint, self._registry, _now_s())
         self._log.write_endpoint_change(change, endpoint)
-        self._log.write_attempt(request, progress, choice, attempt.started_s, result)
+        self._log.write_attempt(request, progress, choice, attempt.started_s, slowness, result)
         self._observe_result(progress, endpoint, result)
         return EndedAttempt(choice, outcome, result)
 
--- a/lycheepin/gateway/request_log.py
+++ b/lycheepin/gateway/request_log.py
@@ -41,9 +41,13 @@
         progress: RequestProgress,
         choice: SelectedEndpoint,
         started_s: float,
+        slowness: float,
         result: AttemptResult,
     ) -> None:
-        """Logs an attempt that began at `started_s`, and how it may have run if that is unknown."""
+        """Logs an attempt that began at `started_s`, and how it may have run if that is unknown.
+
+        `slowness` is the factor by which work was then expected to take longer at the endpoint.
+        """
         endpoint = choice.endpoint
         self._log.write(
             "attempt",
@@ -54,6 +58,7 @@
             in_flight=endpoint.in_flight,
             others=round(endpoint.other_requests(started_s), 1),
             slots=endpoint.record.slots,
+            slowness=round(slowness, 2),
             limit_per_s=self._rate_limits.find_limit(endpoint.record.id),
             key=(request.header(self._header_names.object_key) or b"").decode("latin-1"),
             took_ms=int((self._now_s() - started_s) * MS_PER_S),
@@ -86,7 +91,6 @@
             second=second.endpoint.record.id,
             waited_ms=int((self._now_s() - started_s) * MS_PER_S),
             allowed_after_ms=int(delay_s * MS_PER_S),
-            slowness=round(first.endpoint.slowness(self._now_s()), 2),
         )
 
     def write_hedge_end(
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -188,7 +188,7 @@
 
     def slowness(self, now_s: float) -> float:
         """Returns the factor by which work is expected to take longer there than usual."""
-        decay = exp((self._slowness_updated_s - now_s) / SLOWNESS_DECAY_S)
+        decay = exp(min(0.0, self._slowness_updated_s - now_s) / SLOWNESS_DECAY_S)
         return 1.0 + (self._slowness - 1.0) * decay
 
     def observe_slowness(self, now_s: float, slowness: float) -> None:
