--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -38,7 +38,8 @@
 
     `zones` maps each availability zone to its region, and `store_address` is the address that the
     daemon uses for the store. `incarnation` counts the starts of its process. With
-    `has_new_settings` its settings have fields that it doesn't know.
+    `has_new_settings` its settings have fields that it doesn't know. `machine` has the
+    limits of its machine by their names in the settings.
     """
 
     name: str
@@ -52,6 +53,7 @@
     exit_expected: bool = False
     paused: bool = False
     has_new_settings: bool = False
+    machine: Mapping[str, int] = field(default_factory=dict)
     process: subprocess.Popen[bytes] | None = field(default=None, repr=False)
 
     @property
@@ -122,6 +124,7 @@
             f'"{name}={value:g}"' for name, value in {**BOUNDS, **overrides}.items()
         )
         seed_entries = ", ".join(f'"{seed}"' for seed in self.seed_addresses)
+        machine_entries = "\n".join(f"{name} = {value}" for name, value in self.machine.items())
         content = f"""
 nodeName = "{self.name}"
 ip = "{self.host}"
@@ -138,6 +141,8 @@
 control = "{self.host}:{CONTROL_PORT}"
 [platform]
 address = "{self.store_address}"
+[limits]
+{machine_entries}
 """
         if self.has_new_settings:
             content = NEW_SETTINGS + content + "newTable = { a = [1, { b = 2 }] }\n"
