What a process holds for its clients is counted, and bounded by its machine

Cause: nothing bounded the sum of what a process holds for all its clients, nor its sockets. A read of 256 KiB could begin thousands of pipelined requests; heads cost many times their bytes; bodies and answers of up to 1 MiB each were held for any number of connections; answers went into write buffers however little was read; asyncio's accept loop takes up to a backlog of connections at a time. Change: - steering/holdings.py: one plain account of bytes and sockets, from limits.memoryMb and limits.maxFds of the settings, which chooses who ends: the largest holder of the least work, of the address for which most is held; for sockets the idle of the address with most connections. - Connections count headers (as objects), bodies (now one bytearray), unparsed bytes, write buffers and the kernel's unread bytes. Parsing stops when enough requests wait. Requests behind an unread answer wait. Requests wait up to 0.5 s for a socket to an endpoint, then get 503: they haven't been sent. - A caller that reads nothing for longer than its route's timeout (3 s at least) is cut off. - References in circles between connection, parser and request are cut when a connection ends. The mocked transport of tests/transport/test_listener.py now has an empty write buffer, which a real one has; nothing is asserted less.

--- a/lycheepin/daemon/server.py
+++ b/lycheepin/daemon/server.py
@@ -7,6 +7,7 @@
 import json
 import socket
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import Any
 from urllib.parse import unquote
 
@@ -90,12 +91,16 @@
 
 
 def _build_refusal(status: int) -> bytes:
-    """Returns the answer to a request that could not be parsed."""
-    body = json.dumps(Fault(ErrorKind.BAD_FRAMING).body()).encode()
+    """Returns the answer to a request that could not be parsed, or for which memory is short."""
+    is_short = status == HTTPStatus.SERVICE_UNAVAILABLE
+    fault = Fault(ErrorKind.NO_MEMORY if is_short else ErrorKind.BAD_FRAMING)
+    status_line = b"503 Service Unavailable" if is_short else b"400 Bad Request"
+    body = json.dumps(fault.body()).encode()
     return (
-        b"HTTP/1.1 400 Bad Request\r\ncontent-type: application/json\r\n"
-        b"lycheepin-outcome: NOT_RUN\r\nlycheepin-error: bad_framing\r\n"
-        b"connection: close\r\ncontent-length: %d\r\n\r\n" % len(body)
+        b"HTTP/1.1 %b\r\ncontent-type: application/json\r\n"
+        b"lycheepin-outcome: NOT_RUN\r\nlycheepin-error: %b\r\n"
+        b"connection: close\r\ncontent-length: %d\r\n\r\n"
+        % (status_line, fault.kind.value.encode(), len(body))
     ) + body
 
 
--- a/lycheepin/errors.py
+++ b/lycheepin/errors.py
@@ -38,6 +38,7 @@
     QUARANTINED = "quarantined"
     DRAINING = "draining"
     QUEUE_FULL = "queue_full"
+    NO_MEMORY = "no_memory"
     DEADLINE = "deadline"
     SHIFT_CAP = "shift_cap"
     LINK_FULL = "link_full"
@@ -82,6 +83,7 @@
     ErrorKind.QUARANTINED: Answer(503, Outcome.NOT_RUN, "endpoints crashed under this request"),
     ErrorKind.DRAINING: Answer(503, Outcome.NOT_RUN, "the daemon is about to stop"),
     ErrorKind.QUEUE_FULL: Answer(503, Outcome.NOT_RUN, "too many requests are waiting"),
+    ErrorKind.NO_MEMORY: Answer(503, Outcome.NOT_RUN, "memory or sockets of the daemon are short"),
     ErrorKind.DEADLINE: Answer(503, Outcome.NOT_RUN, "the deadline can't be met"),
     ErrorKind.SHIFT_CAP: Answer(503, Outcome.NOT_RUN, "the cap on shifts is reached"),
     ErrorKind.LINK_FULL: Answer(503, Outcome.NOT_RUN, "the link's share for uploads is in use"),
--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,12 +17,14 @@
 from lycheepin.gateway.response_watchdog import ResponseWatchdog
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.holdings import Holdings
 from lycheepin.steering.idle_connections import IdleConnectionLimits
 from lycheepin.steering.progress import NotRun, OutcomeUnknown
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.transport.connection import AnswerHead, BrokenAnswer, Connection, ConnectionPool
 from lycheepin.transport.headers import strip_hop_by_hop
 from lycheepin.transport.incoming import BodyStart, IncomingRequest, RequestBody, WholeBody
+from lycheepin.transport.shared_buffer import READ_BYTES
 from lycheepin.transport.streaming import stream_body
 
 __all__ = ["AttemptOutcome", "AttemptRunner", "EndpointAnswer"]
@@ -29,6 +32,14 @@
 # Answer bodies up to this size are forwarded only once they are complete, so that a truncated one
 # never reaches the caller.
 MAX_BUFFERED_ANSWER_BYTES = 1024 * 1024
+# The same when memory is short.
+SMALL_ANSWER_BYTES = 64 * 1024
+# Buffered bytes of a larger answer at which reading from the endpoint pauses.
+STREAM_HIGH_WATER_BYTES = 32 * 1024
+# What may have arrived of an answer before its first part is read.
+FIRST_PART_BYTES = 2 * READ_BYTES
+# Longest time in seconds for which a request waits for a socket when all are in use.
+SOCKET_WAIT_S = 0.5
 # Time in seconds before an endpoint's announced idle timeout from which a connection is not reused:
 # a request could arrive after the endpoint has closed it. At least IDLE_TIMEOUT_FRACTION of the
 # timeout is used.
@@ -44,11 +55,15 @@
 
 @dataclass(frozen=True)
 class EndpointAnswer:
-    """An endpoint's answer; the rest of a large body is still to be read from `connection`."""
+    """An endpoint's answer; a large body is still to be read from `connection`.
+
+    `buffered_bytes` is the part of it that has arrived.
+    """
 
     head: AnswerHead
     body: bytes
     connection: Connection | None = None
+    buffered_bytes: int = 0
 
 
 # Result of one attempt with the answer to send on; AttemptResult has only its status.
@@ -65,7 +80,10 @@
         header_names: HeaderNames,
         rate_limits: RateLimits,
         log: DecisionLog,
+        holdings: Holdings,
     ) -> None:
+        self._holdings = holdings
+        self._waiters: deque[asyncio.Future[None]] = deque()
         self._registry = registry
         self._pool = pool
         self._header_names = header_names
@@ -133,11 +151,40 @@
                 watchdog.cancel()
         if connection is not None and not _is_streaming(outcome):
             self._pool.release(record.address, record.port, connection)
+        self._wake_waiter()
         return outcome
 
+    async def wait_for_socket(self) -> bool:
+        """Waits for a socket for an attempt, in the order of requests.
+
+        Returns False if none is free within SOCKET_WAIT_S.
+        """
+        if self._holdings.admits_attempt and not self._waiters:
+            return True
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        try:
+            async with asyncio.timeout(SOCKET_WAIT_S):
+                await waiter
+            return True
+        except TimeoutError:
+            return False
+        finally:
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+
+    def _wake_waiter(self) -> None:
+        """Lets the request that has waited longest for a socket make its attempt."""
+        while self._waiters and self._holdings.admits_attempt:
+            waiter = self._waiters.popleft()
+            if not waiter.done():
+                waiter.set_result(None)
+                return
+
     def release_connection(self, endpoint: Endpoint, connection: Connection) -> None:
         """Lets the pool keep or close a connection whose answer has been read to the end."""
         self._pool.release(endpoint.record.address, endpoint.record.port, connection)
+        self._wake_waiter()
 
     @staticmethod
     def _classify_error(
@@ -190,7 +237,7 @@
             return NotRun(kind, True, all_slots_used)
         if head.status < 300 and head.header(self._header_names.signature) is None:
             raise BrokenAnswer("success without a signature")
-        answer = await _read_answer(connection, head)
+        answer = await _read_answer(connection, head, request, self._holdings)
         if answer.connection is None:
             await self.check_end(endpoint, connection)
         return answer
@@ -316,13 +363,30 @@
         pass
 
 
-async def _read_answer(connection: Connection, head: AnswerHead) -> EndpointAnswer:
-    """Returns a complete answer, or for a large one its first part and the connection."""
+async def _read_answer(
+    connection: Connection, head: AnswerHead, request: IncomingRequest, holdings: Holdings
+) -> EndpointAnswer:
+    """Returns a complete answer, or for a large one the connection to read it from.
+
+    The less memory is left, the smaller is a large one; SMALL_ANSWER_BYTES are never too large.
+    """
+    length = head.content_length
+    expected = FIRST_PART_BYTES if length is None else min(length, FIRST_PART_BYTES)
+    request.hold(expected)
     parts: list[bytes] = []
     size = 0
-    async for chunk in connection.body():
-        parts.append(chunk)
-        size += len(chunk)
-        if size > MAX_BUFFERED_ANSWER_BYTES:
-            return EndpointAnswer(head, b"".join(parts), connection)
+    try:
+        async for chunk in connection.body():
+            parts.append(chunk)
+            size += len(chunk)
+            if size > expected:
+                request.hold(size - expected)
+                expected = size
+            if size > min(MAX_BUFFERED_ANSWER_BYTES, max(SMALL_ANSWER_BYTES, holdings.whole_bytes)):
+                connection.put_back(parts, STREAM_HIGH_WATER_BYTES)
+                request.hold(STREAM_HIGH_WATER_BYTES + READ_BYTES + holdings.machine.unread_bytes)
+                return EndpointAnswer(head, b"", connection, size)
+    except BaseException:
+        request.hold(-expected)
+        raise
     return EndpointAnswer(head, b"".join(parts))
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -28,6 +28,7 @@
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.holdings import Holder, Holdings, Machine
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.region_shares import RegionShares
@@ -36,6 +37,7 @@
 from lycheepin.transport.connection import ConnectionPool
 from lycheepin.transport.incoming import IncomingRequest
 from lycheepin.transport.listener import Listener
+from lycheepin.transport.process_limits import read_descriptor_limit
 
 __all__ = ["Gateway", "Platform", "run_gateway"]
 
@@ -99,6 +101,14 @@
             RegionShares(settings.region, settings.max_shift),
         )
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
+        machine = Machine.from_limits(
+            settings.memory_mb, settings.max_fds or read_descriptor_limit()
+        )
+        self.holdings = Holdings(machine)
+        self.holdings.count_endpoint_sockets = lambda: self._pool.open_count
+        self.holdings.count_idle_sockets = lambda: self._pool.idle_count
+        self._pool.has_room = lambda: self.holdings.has_endpoint_socket
+        self._pool.machine = machine
         self.suspects = SuspectRegistry(carriers.is_chosen)
         self.suspicions = SuspicionExchange(
             settings.name,
@@ -108,7 +118,12 @@
             self.log.write,
         )
         attempt_runner = AttemptRunner(
-            self.registry, self._pool, platform.header_names, self.rate_limits, self.log
+            self.registry,
+            self._pool,
+            platform.header_names,
+            self.rate_limits,
+            self.log,
+            self.holdings,
         )
         self._handler = RequestHandler(
             platform.header_names,
@@ -120,11 +135,12 @@
             self.suspicions,
             RequestLog(self.log, platform.header_names, self.rate_limits),
             self.metrics,
+            self.holdings,
         )
-        self._caller_listener = Listener(self._handler.handle_request)
+        self._caller_listener = Listener(self._handler.handle_request, self.holdings)
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._management_listener = Listener(self._answer_call)
+        self._management_listener = Listener(self._answer_call, self.holdings)
         self.record = DaemonRecord(
             settings.name,
             time.time_ns(),
@@ -218,6 +234,11 @@
         return {
             "in_flight": float(self._caller_listener.in_flight),
             "caller_connections": float(len(self._caller_listener.connections)),
+            "held_bytes": float(self.holdings.held_bytes),
+            "endpoint_connections": float(self._pool.open_count),
+            "paused_accepts": float(
+                self._caller_listener.pauses + self._management_listener.pauses
+            ),
             "endpoints": float(len(known_endpoints)),
             "limited_endpoints": float(self.rate_limits.count),
             "suspected_requests": float(self.suspects.count),
@@ -246,8 +267,22 @@
     def _log_errors_of(self, listener: Listener) -> None:
         """Logs refused requests and internal errors of a listener."""
         listener.on_refused = lambda status: self.log.write("unreadable_request", status=status)
+        listener.on_evicted = self._log_eviction
         listener.on_error = lambda error: self.log.write("fault", error=repr(error))
 
+    def _log_eviction(self, reason: str, holder: Holder) -> None:
+        """Logs and counts a connection that ends because of what it holds."""
+        self.metrics.count("evictions", reason)
+        self.log.write(
+            "evicted",
+            reason=reason,
+            caller=holder.caller_host,
+            stage=holder.stage.name.lower(),
+            held=self.holdings.find_bytes(holder),
+            held_by_all=self.holdings.held_bytes,
+            connections=self.holdings.connections,
+        )
+
     def _register_callbacks(self) -> None:
         """Registers callbacks that pass changes of the state to the components they concern."""
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -22,6 +22,7 @@
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.holdings import Holdings
 from lycheepin.steering.progress import (
     FIRST_FAILURE_STATUS,
     RequestProgress,
@@ -33,6 +34,7 @@
 from lycheepin.transport.headers import Headers, strip_hop_by_hop
 from lycheepin.transport.incoming import (
     MAX_BUFFERED_BODY_BYTES,
+    BodyRefused,
     IncomingRequest,
     RequestBody,
     WholeBody,
@@ -67,7 +69,9 @@
         suspicions: SuspicionExchange,
         log: RequestLog,
         metrics: Metrics,
+        holdings: Holdings,
     ) -> None:
+        self._holdings = holdings
         self._header_names = header_names
         self._registry = registry
         self._dispatcher = dispatcher
@@ -152,6 +156,12 @@
         except TimeoutError:
             self._finish_with_error(request, progress, ErrorKind.DEADLINE, None)
             return
+        except BodyRefused:
+            self._finish_with_error(request, progress, ErrorKind.NO_MEMORY, None)
+            return
+        if not await self._attempt_runner.wait_for_socket():
+            self._refuse_without_socket(request, progress)
+            return
         progress.body_buffered = isinstance(body, WholeBody)
         progress.fingerprint = fingerprint_request(
             request,
@@ -166,6 +176,13 @@
             self._log.write_caller_left(request, progress)
             raise
 
+    def _refuse_without_socket(self, request: IncomingRequest, progress: RequestProgress) -> None:
+        """Refuses a request that no socket is left for; a reader that stopped gives up its own."""
+        now_s = asyncio.get_running_loop().time()
+        for holder in self._holdings.choose_stopped_readers(now_s):
+            holder.evict("sockets")
+        self._finish_with_error(request, progress, ErrorKind.NO_MEMORY, None)
+
     def _read_object_key(self, request: IncomingRequest, route: Route) -> str:
         """Returns the key of the requested object, or "" if the route has no session affinity."""
         key = request.header(self._header_names.object_key) or b"" if route.sticky else b""
@@ -262,14 +279,17 @@
         self._count_answer(request, progress, str(answer.head.status))
         if answer.connection is None:
             self._observe_served(progress, answer.head.status)
+            request.unread_limit_s = progress.route.timeout_s
             request.respond(answer.head.status, headers, answer.body)
             return
-        request.start_answer(answer.head.status, headers, None)
+        request.start_answer(answer.head.status, headers, answer.head.content_length)
         try:
             async with asyncio.timeout_at(progress.deadline_s):
-                await request.send_chunk(answer.body)
+                buffered = answer.buffered_bytes
                 async for chunk in answer.connection.body():
                     await request.send_chunk(chunk)
+                    request.hold(-min(len(chunk), buffered))
+                    buffered -= min(len(chunk), buffered)
                 await self._attempt_runner.check_end(endpoint, answer.connection)
         except (BrokenAnswer, TimeoutError) as error:
             self._log.write_cut_answer(progress, error)
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -57,7 +57,8 @@
     number of cores that the process may use; 0 if unknown. `bootstrap` is true when all daemons
     start for the first time. Endpoints write to their entries every `heartbeat_s`, and leases of
     the store live for `min_lease_s` at least. Of the requests from a region at most the part
-    `max_shift` may change the region in which they run within seconds; None: any.
+    `max_shift` may change the region in which they run within seconds; None: any. `memory_mb` and
+    `max_fds` are the machine's memory and descriptors; 0: the defaults of `Machine`.
     """
 
     name: DaemonName
@@ -82,3 +83,5 @@
     heartbeat_s: float = DEFAULT_HEARTBEAT_S
     min_lease_s: float = 0.0
     max_shift: float | None = None
+    memory_mb: float = 0.0
+    max_fds: int = 0
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -73,6 +73,8 @@
             max_shift=bounds.get("maxShift"),
             link_mbps=float(limits.get("linkMbps", 0.0)),
             # `cpuShare` is a share of one core, and that core is `cores` times as fast
+            memory_mb=float(limits.get("memoryMb", 0.0)),
+            max_fds=int(limits.get("maxFds", 0)),
             processors=float(limits.get("cpuShare", 0.0)) * float(limits.get("cores", 1)),
         )
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -1,7 +1,8 @@
 """A connection of a caller: its requests, parsed by httptools, and the answers in their order.
 
 Each request is handled in its own task; if the caller disconnects, the task is cancelled, together
-with the attempt that it waits for.
+with the attempt that it waits for. What the connection holds is recorded in its server's holdings;
+a caller that leaves its answers unread gets no further ones.
 """
 
 from __future__ import annotations
@@ -12,29 +13,41 @@
 
 import httptools
 
+from lycheepin.steering.holdings import Stage
 from lycheepin.transport.headers import WHITESPACE
-from lycheepin.transport.incoming import IncomingRequest
+from lycheepin.transport.incoming import BodyRefused, IncomingRequest
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 from lycheepin.transport.server import Server
+from lycheepin.transport.shared_buffer import SharedBufferProtocol
 
 __all__ = ["ELEMENT_MARGIN_BYTES", "CallerConnection"]
 
 # Buffered bytes of a request body above which reading from the connection pauses.
 BODY_HIGH_WATER_BYTES = 256 * 1024
+# Bytes of a body up to which it is taken while memory is short.
+SMALL_BODY_BYTES = 64 * 1024
 # Number of pipelined requests on one connection above which reading pauses.
 MAX_PIPELINED = 4
+# Bytes passed to the parser at a time, so that few requests begin once reading has paused.
+HEAD_SLICE_BYTES = 1024
+BODY_SLICE_BYTES = 16 * 1024
+# Memory in bytes of a connection without requests, and of a request that is being handled.
+CONNECTION_BYTES = 8 * 1024
+HANDLER_BYTES = 8 * 1024
 # Limit on an element of a request that has not ended, beyond the limit on its whole head: the size
 # and extension of a chunk, and the parser's reading in slices.
 ELEMENT_MARGIN_BYTES = 16 * 1024
 # Time in seconds for which a caller that is still sending may go on after the last answer on its
 # connection. Closing a connection with unread bytes resets it, and the answer would be lost.
 LINGER_S = 5.0
+# Least time in seconds for which an answer may stay unread.
+MIN_UNREAD_LIMIT_S = 3.0
 
 # Headers that announce a body.
 _BODY_HEADERS = {b"content-length", b"transfer-encoding"}
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(SharedBufferProtocol):
     """A connection of a caller; its requests are handled one at a time, in order."""
 
     def __init__(self, server: Server) -> None:
@@ -51,27 +64,39 @@
         self._writable = asyncio.Event()
         self._writable.set()
         self._paused = False
+        self._unparsed = b""
+        self._unsent_bytes = 0
+        self._unread_limit_s: float | None = None
         self._closing = False
         self._refused = False
         self._repeats_head = False
         self._head_bytes = self._head_fields = 0
         self._body_bytes = 0
         self.head_since_s: float | None = None
-        self.idle_since_s = self._loop.time()
+        self.idle_since_s = self.active_since_s = self._loop.time()
+        self.caller_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by asyncio; adds the connection to its server."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        peer = transport.get_extra_info("peername")
+        self.caller_host = str(peer[0]) if isinstance(peer, tuple) else ""
         self._server.connections.add(self)
+        self.observe_held()
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by asyncio; cancels the request that is being handled."""
         self._server.connections.discard(self)
-        self._queue.clear()
+        self._server.holdings.remove(self)
+        self._transport = None
+        self._drop_requests()
+        # These refer to the connection, which would otherwise stay until a collection.
+        del self._parser, self._parsing
         self._writable.set()
         if self._task is not None:
             self._task.cancel()
+        self._server.resume_accepting()
 
     def pause_writing(self) -> None:
         """Called by asyncio when the write buffer is full."""
@@ -80,17 +105,34 @@
     def resume_writing(self) -> None:
         """Called by asyncio when the write buffer has been emptied."""
         self._writable.set()
+        self.active_since_s = self._loop.time()
+        self.observe_held()
 
     def data_received(self, data: bytes) -> None:
-        """Called by asyncio; passes the bytes to the parser."""
+        """Passes bytes to the parser, or keeps them while reading is paused."""
         if self._closing or self._refused:
             return
-        try:
-            self._progress_limit.feed(self._parse, data)
-        except httptools.HttpParserError:
-            self.refuse_request(400)
-        except EndlessElement:
-            self.refuse_request(431)
+        self.active_since_s = self._loop.time()
+        self._unparsed += data
+        self._parse_unparsed()
+
+    def _parse_unparsed(self) -> None:
+        """Passes the bytes that were received to the parser until reading pauses."""
+        data, start = memoryview(self._unparsed), 0
+        while start < len(data) and not (self._paused or self._closing or self._refused):
+            size = HEAD_SLICE_BYTES if self._receiving is None else BODY_SLICE_BYTES
+            piece = data[start : start + size]
+            start += len(piece)
+            try:
+                self._progress_limit.feed(self._parse, piece)
+            except httptools.HttpParserError:
+                self.refuse_request(400)
+            except EndlessElement:
+                self.refuse_request(431)
+            self.observe_held()
+        self._unparsed = b"" if self._closing or self._refused else bytes(data[start:])
+        if self._unparsed:
+            self.observe_held()
 
     def _parse(self, data: memoryview) -> None:
         """Passes bytes to the parser; an offer to upgrade the connection is not taken up.
@@ -153,8 +195,7 @@
         if name.lower() == b"host" and b"host" in self._parsing.headers_by_name:
             raise httptools.HttpParserError("two hosts")
         value = value.rstrip(WHITESPACE)
-        self._parsing.headers.append((name, value))
-        self._parsing.headers_by_name[name.lower()] = value
+        self._parsing.add_header(name, value)
 
     def _count_head_bytes(self, size: int) -> None:
         """Adds a field to the size of the head; refuses the request if it is too large."""
@@ -192,7 +233,8 @@
         if self._body_bytes > self._server.limits.max_body_bytes:
             self.refuse_request(413)
             return
-        if self._receiving.feed_body(body) > BODY_HIGH_WATER_BYTES:
+        buffered = self._receiving.feed_body(body)
+        if buffered > BODY_HIGH_WATER_BYTES or self._waits_for_memory:
             self._pause_reading()
 
     def on_message_complete(self) -> None:
@@ -207,15 +249,25 @@
             self._paused
             and buffered < BODY_HIGH_WATER_BYTES // 2
             and len(self._queue) <= MAX_PIPELINED
+            and not self._waits_for_memory
         ):
             self._paused = False
-            if self._transport is not None and not self._transport.is_closing():
-                self._transport.resume_reading()
+            self._loop.call_soon(self._continue_reading)
+        self.observe_held()
+
+    def _continue_reading(self) -> None:
+        """Parses the bytes that were kept, then reads further ones unless reading pauses again."""
+        self._parse_unparsed()
+        if not self._paused and self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     def write(self, data: bytes) -> None:
         """Writes bytes to the transport; ignored if it is closing."""
         if self._transport is not None and not self._transport.is_closing():
+            if not self.has_unsent_bytes:
+                self.active_since_s = self._loop.time()
             self._transport.write(data)
+            self.observe_held()
 
     async def drain(self) -> None:
         """Waits while the write buffer is full; raises ConnectionError if the caller has left."""
@@ -229,27 +281,31 @@
             self._closing
             or (self._refused and not self._queue)
             or self._server.closing
+            or not self._server.is_accepting
             or not request.keep_alive
             or not request.body_complete
         )
 
     def end_answer(self, request: IncomingRequest) -> None:
         """Ends an answer; closes the connection unless it is kept alive."""
+        self._unread_limit_s = request.unread_limit_s
         if self.closes_after(request):
             self._close_after_answer()
 
     def _close_after_answer(self) -> None:
         """Closes the connection; the rest of a body that is arriving is read and ignored before."""
         self._closing = True
-        self._queue.clear()
+        is_receiving = self._receiving is not None
+        self._drop_requests()
         transport = self._transport
         if transport is None or transport.is_closing():
             return
-        if self._receiving is None:
+        if not is_receiving:
             transport.close()
             return
         transport.write_eof()
         if self._paused:
+            self._paused = False
             transport.resume_reading()
         self._loop.call_later(LINGER_S, transport.close)
 
@@ -285,11 +341,93 @@
         self.write(self._server.build_refusal(status))
         self._close_after_answer()
 
+    def evict(self, reason: str) -> None:
+        """Ends the connection because memory or sockets are short.
+
+        A request that waits for its body is refused: it has not run. Others end without an answer.
+        """
+        self._server.on_evicted(reason, self)
+        request = self._current
+        if request is not None and request.awaits_body and reason != "sockets":
+            request.refuse_body()
+            self._queue.clear()
+            self._unparsed = b""
+            self.observe_held()
+            return
+        self._closing = True
+        self._server.holdings.record(self, CONNECTION_BYTES)
+        self.abort()
+
+    def observe_held(self) -> None:
+        """Records how much memory the connection holds; lets others end if it is too much."""
+        if self._transport is None or self._transport.is_closing():
+            return
+        self._unsent_bytes = self._transport.get_write_buffer_size()
+        held_bytes = CONNECTION_BYTES + self._unsent_bytes + len(self._unparsed)
+        if not self._closing:
+            held_bytes += self._progress_limit.pending_bytes
+            held_bytes += sum(request.held_bytes for request in self._queue)
+            if self.head_since_s is not None:
+                held_bytes += self._parsing.held_bytes
+        if self._current is not None:
+            held_bytes += self._current.held_bytes + HANDLER_BYTES
+        if self._paused:
+            held_bytes += self._server.holdings.machine.unread_bytes
+        self._server.holdings.record(self, held_bytes)
+        if self._server.holdings.is_full:
+            self._server.end_largest()
+
+    def check_progress(self, now_s: float) -> None:
+        """Cuts off a caller that has read nothing of its answer for too long.
+
+        Reading that waited for memory goes on once there is enough.
+        """
+        if self._transport is None or not (self._paused or self._unsent_bytes):
+            return
+        if self._paused and not self._closing:
+            self.resume_reading(self._receiving.buffered_bytes if self._receiving else 0)
+        unsent_bytes, before = self._transport.get_write_buffer_size(), self._unsent_bytes
+        if unsent_bytes != before:
+            self._unsent_bytes = unsent_bytes
+            self.active_since_s = now_s
+            self.observe_held()
+        limit_s = self._unread_limit_s or self._server.limits.idle_timeout_s
+        if unsent_bytes and now_s - self.active_since_s > max(limit_s, MIN_UNREAD_LIMIT_S):
+            self._server.on_evicted("unread", self)
+            self.abort()
+
+    @property
+    def stage(self) -> Stage:
+        """What the connection is doing."""
+        if self._current is not None and not self._closing:
+            if self._current.awaits_body:
+                return Stage.BODY
+            if not self._current.answered:
+                return Stage.RUNNING
+        if self.has_unsent_bytes:
+            return Stage.ANSWER
+        if self._current is not None and not self._closing:
+            return Stage.RUNNING
+        return Stage.IDLE if self.head_since_s is None else Stage.HEAD
+
     @property
-    def caller_host(self) -> str:
-        """The network address of the caller, without its port."""
-        peer = self._transport.get_extra_info("peername") if self._transport is not None else None
-        return str(peer[0]) if peer else ""
+    def _waits_for_memory(self) -> bool:
+        """Whether no more of a body is taken because memory is short."""
+        request = self._receiving
+        return (
+            request is not None
+            and request.awaits_body
+            and request.held_bytes > SMALL_BODY_BYTES
+            and self._server.holdings.is_short
+        )
+
+    def _drop_requests(self) -> None:
+        """Forgets requests that are neither handled nor answered any more."""
+        self._queue.clear()
+        self._unparsed = b""
+        self._receiving = None
+        self.head_since_s = None
+        self._parsing = IncomingRequest(self, 0.0)
 
     @property
     def is_idle(self) -> bool:
@@ -320,25 +458,44 @@
             self._task = self._loop.create_task(self._handle_request(self._current))
 
     async def _handle_request(self, request: IncomingRequest) -> None:
-        """Runs the handler for a request, then starts the next request."""
+        """Runs the handler for a request; starts the next one once the answer is mostly read."""
         self._server.in_flight += 1
         try:
             await self._server.handler(request)
         except asyncio.CancelledError:
+            self._end_task()
             if not self._closing:
                 self.abort()
             return
         except ConnectionError:
+            self._end_task()
             self.abort()
             return
+        except BodyRefused:
+            self.write(self._server.build_refusal(HTTPStatus.SERVICE_UNAVAILABLE))
+            self._close_after_answer()
         except Exception as error:  # an error in one request must not stop the daemon
             self._server.on_error(error)
+            self._end_task()
             self.abort()
             return
         finally:
             self._server.in_flight -= 1
-        self._current = None
-        self._task = None
+        if self._transport is None:
+            self._end_task()
+            return
+        if self._parsing is request:
+            self._parsing = IncomingRequest(self, 0.0)
+        if not self._writable.is_set():
+            request.release()
+            self.observe_held()
+            await self._writable.wait()
+        self._end_task()
         self.idle_since_s = self._loop.time()
-        self.resume_reading(0)
         self._start_next()
+        self.resume_reading(0)
+
+    def _end_task(self) -> None:
+        """Forgets the request that was handled, and its task."""
+        self._current = None
+        self._task = None
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -15,9 +15,13 @@
 
 import httptools
 
+from lycheepin.decoding import parse_count
 from lycheepin.names import Address
+from lycheepin.steering.holdings import Machine
 from lycheepin.transport.headers import WHITESPACE, Headers
+from lycheepin.transport.process_limits import limit_unread_bytes
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
+from lycheepin.transport.shared_buffer import SharedBufferProtocol
 
 __all__ = ["AnswerHead", "BrokenAnswer", "Connection", "ConnectionPool"]
 
@@ -58,6 +62,13 @@
         """Returns the first header of a lower-case name, or None."""
         return next(iter(self.headers_named(name)), None)
 
+    @property
+    def content_length(self) -> int | None:
+        """The length of the body in bytes, or None if the answer doesn't tell it."""
+        if self.header(b"transfer-encoding") is not None:
+            return None
+        return parse_count(self.header(b"content-length") or b"")
+
     def headers_named(self, name: bytes) -> list[bytes]:
         """Returns all headers of a lower-case name."""
         return [value for key, value in self.headers if key.lower() == name]
@@ -68,7 +79,7 @@
     return True
 
 
-class Connection(asyncio.Protocol):
+class Connection(SharedBufferProtocol):
     """A connection that sends requests and parses the answers with httptools.
 
     It is not reused if `close_after_use` is set, or after it was idle for `idle_limit_s`.
@@ -76,9 +87,13 @@
     `reused` is true if it has carried another request before the present one.
     `answer_begun` is true once any byte has arrived after the present request.
     `sending_body` is true while parts of the present request's body are still to be handed over.
+    Reading pauses when more than `high_water_bytes` of a body are buffered. While it is open, the
+    connection is in `open_connections`.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, open_connections: set[Connection] | None = None) -> None:
+        self._open_connections = open_connections if open_connections is not None else set()
+        self.high_water_bytes = HIGH_WATER_BYTES
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
         self._progress_limit = ProgressLimit(MAX_ELEMENT_BYTES)
@@ -113,6 +128,7 @@
         """Called by asyncio when the connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        self._open_connections.add(self)
         self._writable.set()
 
     def eof_received(self) -> bool:
@@ -150,6 +166,10 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by asyncio when the connection is closed; fails a request in progress."""
+        self._open_connections.discard(self)
+        # These refer to the connection, which would otherwise stay until a collection.
+        del self._parser
+        self._accept_head = _accept_any
         self._fail("connection closed" if exc is None else str(exc))
 
     def pause_writing(self) -> None:
@@ -234,7 +254,7 @@
             return
         self._chunks.append(body)
         self._buffered_bytes += len(body)
-        if self._buffered_bytes > HIGH_WATER_BYTES and self._transport is not None:
+        if self._buffered_bytes > self.high_water_bytes and self._transport is not None:
             self._transport.pause_reading()
         self._body_changed.set()
 
@@ -343,6 +363,14 @@
         if self._head is not None:
             await asyncio.wait((self._head,))
 
+    def put_back(self, parts: list[bytes], high_water_bytes: int) -> None:
+        """Lets `body` yield parts again that it has yielded, and lowers the limit on buffering."""
+        self._chunks.extendleft(reversed(parts))
+        self._buffered_bytes += sum(len(part) for part in parts)
+        self.high_water_bytes = high_water_bytes
+        if self._buffered_bytes > high_water_bytes and self._transport is not None:
+            self._transport.pause_reading()
+
     async def body(self) -> AsyncIterator[bytes]:
         """Yields the body in chunks; raises BrokenAnswer when it is incomplete."""
         while True:
@@ -373,9 +401,17 @@
 
 
 class ConnectionPool:
-    """Idle connections by address and port."""
+    """Idle connections by address and port.
+
+    The machine limits what the kernel holds unread for each connection. A new connection replaces
+    one that is idle unless `has_room` returns true.
+    """
 
     def __init__(self, local_address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        self.machine = Machine.from_limits()
+        self.has_room: Callable[[], bool] = lambda: True
+        self._open: set[Connection] = set()
+        self._opening = 0
         self._local_address = local_address
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[Address, int], deque[Connection]] = {}
@@ -403,12 +439,42 @@
     async def open(self, address: Address, port: int) -> Connection:
         """Returns a new connection; raises OSError or TimeoutError if opening fails."""
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(self._connect_timeout_s):
-            _, protocol = await loop.create_connection(
-                Connection, address, port, local_addr=(self._local_address, 0)
-            )
+        if not self.has_room():
+            self._close_one()
+        self._opening += 1
+        try:
+            async with asyncio.timeout(self._connect_timeout_s):
+                transport, protocol = await loop.create_connection(
+                    lambda: Connection(self._open),
+                    address,
+                    port,
+                    local_addr=(self._local_address, 0),
+                )
+        finally:
+            self._opening -= 1
+        limit_unread_bytes(transport.get_extra_info("socket"), self.machine)
         return protocol
 
+    def _close_one(self) -> None:
+        """Closes the idle connection that has rested longest, if there is one."""
+        oldest = min(
+            (idle for idle in self._idle.values() if idle),
+            key=lambda idle: idle[0].idle_since_s,
+            default=None,
+        )
+        if oldest is not None:
+            oldest.popleft().close()
+
+    @property
+    def open_count(self) -> int:
+        """The number of connections that are open or being opened."""
+        return len(self._open) + self._opening
+
+    @property
+    def idle_count(self) -> int:
+        """The number of connections that are kept for later requests."""
+        return sum(len(idle) for idle in self._idle.values())
+
     async def is_refused(self, address: Address, port: int) -> bool:
         """Returns whether a new connection is refused; one that is accepted is kept.
 
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import re
-from collections import deque
 from dataclasses import dataclass
 from http import HTTPStatus
 from typing import Protocol
@@ -14,6 +13,7 @@
 __all__ = [
     "MAX_BUFFERED_BODY_BYTES",
     "REASONS",
+    "BodyRefused",
     "BodyStart",
     "IncomingRequest",
     "RequestBody",
@@ -25,11 +25,21 @@
 MAX_BUFFERED_BODY_BYTES = 1024 * 1024
 # Reason phrase of each HTTP status.
 REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+# Memory in bytes of a request without headers, and of a header beside its name and value. A name is
+# kept twice.
+REQUEST_BYTES = 2048
+HEADER_BYTES = 300
+# How often a whole body is in memory while it is sent on.
+BODY_COPIES = 2
 _NO_BODY_STATUSES = (204, 304)
 # Scheme and host of a target that names them, as requests to a proxy do.
 _ABSOLUTE_FORM = re.compile(rb"https?://([^/?]*)", re.IGNORECASE)
 
 
+class BodyRefused(Exception):
+    """The body is not read to its end, because memory is short; the request hasn't been sent."""
+
+
 @dataclass(frozen=True)
 class WholeBody:
     """A body that has arrived to its end."""
@@ -63,6 +73,9 @@
     def resume_reading(self, buffered: int) -> None:
         """Resumes reading if only a few bytes of the body are buffered."""
 
+    def observe_held(self) -> None:
+        """Notes that a request holds more or less memory."""
+
     def closes_after(self, request: IncomingRequest) -> bool:
         """Returns whether the connection is closed after the answer to a request."""
 
@@ -74,13 +87,21 @@
 
 
 class IncomingRequest:
-    """A request from a caller, whose body may still be arriving, and its answer."""
+    """A request from a caller, whose body may still be arriving, and its answer.
+
+    `awaits_body` is true while the request waits for its body and has not been sent anywhere.
+    `held_bytes` is the memory that it takes. Its caller is cut off when it reads nothing of the
+    answer for `unread_limit_s`, if that is set.
+    """
 
     def __init__(self, connection: RequestConnection, arrival_s: float) -> None:
         self._connection = connection
-        self._chunks: deque[bytes] = deque()
-        self._buffered = 0
-        self._body_changed = asyncio.Event()
+        self._content = bytearray()
+        self._body_waiter: asyncio.Future[None] | None = None
+        self._body_refused = False
+        self.held_bytes = REQUEST_BYTES
+        self.awaits_body = False
+        self.unread_limit_s: float | None = None
         self.arrival_s = arrival_s
         self.method = b"GET"
         self.target = b""
@@ -123,47 +144,93 @@
         self.headers.insert(0, (b"Host", absolute[1]))
         self.headers_by_name[b"host"] = absolute[1]
 
+    def add_header(self, name: bytes, value: bytes) -> None:
+        """Adds a header; the last one of a name is found by it."""
+        self.headers.append((name, value))
+        self.headers_by_name[name.lower()] = value
+        self.held_bytes += HEADER_BYTES + 2 * len(name) + len(value)
+
+    @property
+    def buffered_bytes(self) -> int:
+        """The bytes of the body that have arrived and were not read."""
+        return len(self._content)
+
+    def release(self) -> None:
+        """Forgets headers and body of a request that has been handled."""
+        self.headers = []
+        self.headers_by_name = {}
+        self._content.clear()
+        self.held_bytes = REQUEST_BYTES
+
+    def hold(self, size: int) -> None:
+        """Counts bytes that are held for the request until it has been handled."""
+        self.held_bytes += size
+        self._connection.observe_held()
+
     def feed_body(self, chunk: bytes) -> int:
         """Adds a part of the body; returns the number of buffered bytes."""
-        self._chunks.append(chunk)
-        self._buffered += len(chunk)
-        self._body_changed.set()
-        return self._buffered
+        self._content += chunk
+        self.held_bytes += len(chunk)
+        self._wake_reader()
+        return len(self._content)
 
     def end_body(self) -> None:
         """Marks the body as complete."""
         self.body_complete = True
-        self._body_changed.set()
+        self._wake_reader()
+
+    def refuse_body(self) -> None:
+        """Ends the wait for the body with BodyRefused, and forgets what has arrived of it."""
+        self._body_refused = True
+        self._content.clear()
+        self.held_bytes = REQUEST_BYTES
+        self._wake_reader()
+
+    def _wake_reader(self) -> None:
+        """Wakes the task that waits for the body."""
+        if self._body_waiter is not None and not self._body_waiter.done():
+            self._body_waiter.set_result(None)
 
     async def read_chunk(self) -> bytes:
         """Returns the next part of the body; empty at the end of the body.
 
-        A caller that waits to be asked for the body is asked when it is first needed.
+        A caller that waits to be asked for the body is asked when it is first needed. Raises
+        BodyRefused if the body is refused.
         """
-        while not self._chunks:
+        while not self._content:
+            if self._body_refused:
+                raise BodyRefused
             if self.body_complete:
                 return b""
             if self.awaits_continue:
                 self.awaits_continue = False
                 self._connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self._body_changed.clear()
-            await self._body_changed.wait()
-        chunk = self._chunks.popleft()
-        self._buffered -= len(chunk)
-        self._connection.resume_reading(self._buffered)
+            self._body_waiter = asyncio.get_running_loop().create_future()
+            await self._body_waiter
+        chunk = bytes(self._content)
+        self._content = bytearray()
+        self.held_bytes -= len(chunk)
+        self._connection.resume_reading(0)
         return chunk
 
     async def read_up_to(self, limit: int) -> RequestBody:
-        """Returns the whole body, or if it exceeds `limit` bytes, a first part that exceeds it."""
-        parts: list[bytes] = []
-        size = 0
-        while size <= limit:
-            chunk = await self.read_chunk()
-            if not chunk:
-                return WholeBody(b"".join(parts))
-            parts.append(chunk)
-            size += len(chunk)
-        return BodyStart(b"".join(parts))
+        """Returns the whole body, or if it exceeds `limit` bytes, a first part that exceeds it.
+
+        Raises BodyRefused if the body is refused.
+        """
+        content = bytearray()
+        self.awaits_body = True
+        try:
+            while len(content) <= limit:
+                chunk = await self.read_chunk()
+                if not chunk:
+                    self.hold((BODY_COPIES - 1) * len(content))
+                    return WholeBody(bytes(content))
+                content += chunk
+                self.hold(len(chunk))
+            return BodyStart(bytes(content))
+        finally:
+            self.awaits_body = False
 
     def respond(self, status: int, headers: Headers, body: bytes) -> None:
         """Sends a complete answer."""
--- a/lycheepin/transport/progress_limit.py
+++ b/lycheepin/transport/progress_limit.py
@@ -32,7 +32,12 @@
         """Records that the parser has completed an element, or passed on a part of a body."""
         self._pending_bytes = 0
 
-    def feed(self, parse: Callable[[memoryview], None], data: bytes) -> None:
+    @property
+    def pending_bytes(self) -> int:
+        """The bytes that the parser may hold of an element that has not ended."""
+        return self._pending_bytes
+
+    def feed(self, parse: Callable[[memoryview], None], data: bytes | memoryview) -> None:
         """Passes data to a parser in slices; raises EndlessElement beyond the limit."""
         view = memoryview(data)
         for start in range(0, len(view), SLICE_BYTES):
--- a/tests/gateway/connections.py
+++ b/tests/gateway/connections.py
@@ -21,6 +21,9 @@
     def resume_reading(self, buffered: int) -> None:
         return
 
+    def observe_held(self) -> None:
+        return
+
     def closes_after(self, request: IncomingRequest) -> bool:
         return False
 
--- a/tests/transport/test_listener.py
+++ b/tests/transport/test_listener.py
@@ -39,6 +39,7 @@
                 limit = listener.limits.max_header_bytes + ELEMENT_MARGIN_BYTES + SLICE_BYTES
                 transport = Mock(spec=asyncio.Transport)
                 transport.is_closing.return_value = False
+                transport.get_write_buffer_size.return_value = 0
                 connection = CallerConnection(listener)
                 connection.connection_made(transport)
                 connection.data_received(start)
