Contention: workspaces share the room at endpoints, and higher priorities keep theirs

Cause: a request was refused by the load of its endpoints and its priority alone. A workspace at ten times its usual was served as often as the others; a priority whose answers are useful for a short time only was refused while a flood of a lower one waited at the endpoints.

Change: lycheepin/steering/contention.py decides what a request may take of the endpoints of its service and region, from this daemon's requests of the last four seconds: shares of the workspaces by weight (quota, else equal), borrowing of what others leave, higher priorities first in a share, half of what all are served for each workspace, and room for higher priorities in proportion to what they lack. Without workspaces only a lower priority that is served more often than a higher one is held back. Refusals say which rule decided, in `not_placed` lines and the counter `refusals`.

--- a/experiments/load.py
+++ b/experiments/load.py
@@ -14,6 +14,7 @@
 from lycheepin.steering.choices import Refusal
 from lycheepin.steering.progress import AttemptResult, NotRun, Served
 from lycheepin.steering.routes import RequestKind, Route, ServiceShare
+from lycheepin.steering.workspaces import Workspace
 
 __all__ = [
     "LAYOUTS",
@@ -21,6 +22,7 @@
     "LoadProfile",
     "RunResult",
     "TrafficClass",
+    "WorkspaceLoad",
     "simulate_load",
 ]
 
@@ -91,13 +93,22 @@
 LoadProfile = Callable[[float], float]
 
 
+@dataclass(frozen=True)
+class WorkspaceLoad:
+    """The requests of one workspace: their part of the usual load, and their load over time."""
+
+    workspace: Workspace | None
+    part: float = 1.0
+    load_profile: LoadProfile = lambda time_s: 1.0
+
+
 @dataclass
 class RunResult:
     """Counts of a run.
 
     `earned` and `offered` are the values of answers and of requests, by the window in which the
     request arrived. `refusals` counts tries that ended without running anywhere, `attempts_sent`
-    the daemons' attempts at endpoints.
+    the daemons' attempts at endpoints. `sent` has all requests with their answers.
     """
 
     earned: dict[int, float] = field(default_factory=dict)
@@ -107,6 +118,7 @@
     refusals: int = 0
     tries: int = 0
     attempts_sent: int = 0
+    sent: list[Request] = field(default_factory=list)
 
     def earned_ratio(self, start_s: float = 0.0, end_s: float = float("inf")) -> float:
         """Returns the ratio of earned to offered value of arrivals from `start_s` until `end_s`."""
@@ -132,6 +144,7 @@
         window = int(request.arrival_s / WINDOW_S)
         self._run_result.offered[window] = self._run_result.offered.get(window, 0.0) + request.value
         self._run_result.requests += 1
+        self._run_result.sent.append(request)
         self._send_try(request, self._simulation.random.choice(self._simulation.daemons))
 
     def _send_try(self, request: Request, daemon: Daemon) -> None:
@@ -165,8 +178,8 @@
 
     def _add_earned_value(self, request: Request, now_s: float) -> None:
         """Counts an answer: its full value within the target, its late value after that."""
-        elapsed_s = now_s - request.arrival_s
-        earned_value = request.value if elapsed_s <= request.route.target_s else request.late_value
+        request.answered_s = now_s
+        earned_value = request.value if request.is_in_time else request.late_value
         window = int(request.arrival_s / WINDOW_S)
         self._run_result.earned[window] = self._run_result.earned.get(window, 0.0) + earned_value
         self._run_result.served += 1
@@ -177,22 +190,46 @@
     duration_s: float,
     load_profile: LoadProfile,
     traffic_classes: tuple[TrafficClass, ...],
+    workspaces: tuple[WorkspaceLoad, ...] = (WorkspaceLoad(None),),
 ) -> RunResult:
     """Runs a simulation to its end and returns its counts.
 
-    Arrivals are Poisson processes; the rate of each class is its own times `load_profile(time)`.
+    Arrivals are Poisson processes; the rate of each class in each workspace is its own times
+    `load_profile(time)` and the workspace's.
     """
     run_result = RunResult()
     callers = _CallerModel(simulation, run_result)
+    for workspace in workspaces:
+        _schedule_arrivals(
+            simulation, duration_s, load_profile, traffic_classes, workspace, callers
+        )
+    simulation.scheduler.run()
+    run_result.attempts_sent = sum(daemon.attempts_sent for daemon in simulation.daemons)
+    return run_result
+
+
+def _schedule_arrivals(
+    simulation: Simulation,
+    duration_s: float,
+    load_profile: LoadProfile,
+    traffic_classes: tuple[TrafficClass, ...],
+    workspace: WorkspaceLoad,
+    callers: _CallerModel,
+) -> None:
+    """Schedules the requests of one workspace."""
     rng = simulation.random
-    peak_load = max(load_profile(tenth / 10) for tenth in range(int(duration_s * 10)))
+
+    def find_load(time_s: float) -> float:
+        return load_profile(time_s) * workspace.load_profile(time_s) * workspace.part
+
+    peak_load = max(find_load(tenth / 10) for tenth in range(int(duration_s * 10)))
     for traffic_class in traffic_classes:
         route = traffic_class.build_route()
         weights = [(rank + 1) ** -POPULARITY_SKEW for rank in range(traffic_class.objects)]
         time_s = 0.0
         while (time_s := time_s + rng.expovariate(traffic_class.per_s * peak_load)) < duration_s:
             # Thinning: arrivals are drawn at the peak rate and kept in proportion to the load.
-            if rng.random() * peak_load > load_profile(time_s):
+            if rng.random() * peak_load > find_load(time_s):
                 continue
             request = Request(
                 f"{traffic_class.name}-{time_s:.6f}",
@@ -203,10 +240,8 @@
                 time_s + traffic_class.deadline_s * rng.uniform(MIN_DEADLINE_RATIO, 1.0),
                 traffic_class.value,
                 0.2 * traffic_class.value,
+                workspace=workspace.workspace,
             )
             simulation.scheduler.call_later(
                 time_s, lambda request=request: callers.send_first_try(request)
             )
-    simulation.scheduler.run()
-    run_result.attempts_sent = sum(daemon.attempts_sent for daemon in simulation.daemons)
-    return run_result
--- a/experiments/model.py
+++ b/experiments/model.py
@@ -36,6 +36,7 @@
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import Route, ServiceSpec
+from lycheepin.steering.workspaces import Workspace
 
 __all__ = [
     "Chooser",
@@ -115,7 +116,7 @@
     """One request of a caller, over all its tries.
 
     `cold_processing_s` is its processing time in seconds at an endpoint where its object is cold;
-    `late_value` is the value of an answer after the route's target.
+    `late_value` is the value of an answer after the route's target. `workspace` is the caller's.
     """
 
     request_id: str
@@ -127,8 +128,15 @@
     value: float
     late_value: float
     tries_left: int = 2
+    workspace: Workspace | None = None
     answered_s: float | None = None
-    refusals: int = 0
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether the request was answered within its route's target."""
+        return (
+            self.answered_s is not None and self.answered_s - self.arrival_s <= self.route.target_s
+        )
 
 
 @dataclass(eq=False)
@@ -300,9 +308,19 @@
         route = request.route
         deadline_s = min(request.deadline_s, now_s + route.timeout_s)
         service = route.shares[0].service
-        waited_s = self._caller_retries.estimate_waited_s(route, request.deadline_s - now_s, now_s)
+        workspace = request.workspace
+        waited_s = self._caller_retries.estimate_waited_s(
+            route, request.deadline_s - now_s, now_s, workspace.name if workspace else None
+        )
         progress = RequestProgress(
-            route, service, now_s, deadline_s, request.request_id, request.object_key, waited_s
+            route,
+            service,
+            now_s,
+            deadline_s,
+            request.request_id,
+            request.object_key,
+            waited_s,
+            workspace=workspace,
         )
         self._retry_budget.count_request(now_s)
         self._make_attempt(request, progress, on_result)
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -217,6 +217,7 @@
             )
             self._attempts.observe_choice(progress.service, isinstance(choice, Refusal))
             if isinstance(choice, Refusal):
+                self._metrics.count("refusals", (choice.rule or choice.kind).value)
                 self._log.write_not_placed(progress, choice)
                 self._finish_with_error(request, progress, choice.kind, choice.retry_after_s)
                 return
--- a/lycheepin/gateway/request_log.py
+++ b/lycheepin/gateway/request_log.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from math import isfinite
 
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.gateway.decisions import DecisionLog
@@ -133,6 +134,7 @@
             caller_retry=progress.waited_s > 0.0,
             target_left_ms=int((progress.route.target_s - waited_s) * MS_PER_S),
             weighed=[_describe_weighed(endpoint) for endpoint in refusal.weighed],
+            **_describe_rule(progress, refusal),
         )
 
     def write_quarantine(
@@ -192,6 +194,21 @@
     }
 
 
+def _describe_rule(progress: RequestProgress, refusal: Refusal) -> dict[str, object]:
+    """Returns the fields that tell which rule decided, and by which claim, where one did."""
+    rule, claim = refusal.rule, refusal.claim
+    if rule is None or claim is None:
+        return {}
+    fields: dict[str, object] = {"rule": rule.value}
+    if progress.workspace is not None:
+        fields["workspace"] = progress.workspace.name
+    if claim.rule is not None:
+        fields |= {"priority": progress.priority, "kept": round(claim.kept, 2)}
+    if isfinite(claim.share):
+        fields |= {"used": claim.used, "share": round(claim.share, 1)}
+    return fields
+
+
 def _describe_weighed(endpoint: WeighedEndpoint) -> str:
     """Returns a preferred endpoint with its load and expected answer time, for a log line."""
     age_s = endpoint.report_age_s
--- a/lycheepin/steering/choices.py
+++ b/lycheepin/steering/choices.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
+from math import inf
 
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, RegionName, ServiceName
@@ -12,7 +14,9 @@
 __all__ = [
     "AttemptRequirements",
     "Choice",
+    "Claim",
     "Refusal",
+    "RefusalRule",
     "SelectedEndpoint",
     "WeighedEndpoint",
 ]
@@ -66,17 +70,47 @@
     is_own_region: bool = False
 
 
+class RefusalRule(Enum):
+    """What decides that warm endpoints don't get an attempt."""
+
+    FULL = "full"
+    LATE = "late"
+    LATE_RETRY = "late_retry"
+    HOPELESS = "hopeless"
+    OVER_SHARE = "over_share"
+    PRIORITY = "priority"
+
+
+@dataclass(frozen=True)
+class Claim:
+    """What an attempt may take of the endpoints of a region under contention.
+
+    `used` is what its workspace has been given in the last seconds, in requests, and `share` what
+    it may be given. With a `rule`, which holds it back, it may not wait at an endpoint, and `kept`
+    is the part of the slots that it may not use either.
+    """
+
+    region: RegionName
+    used: float = 0.0
+    share: float = inf
+    kept: float = 0.0
+    rule: RefusalRule | None = None
+
+
 @dataclass(frozen=True)
 class Refusal:
     """No endpoint can take the attempt; capacity is expected in `retry_after_s` seconds.
 
     `weighed` has the preferred endpoints; it is empty if none was usable, or all were cold, or none
-    of them takes a request of this daemon now.
+    of them takes a request of this daemon now. `rule` and `claim` tell why preferred endpoints
+    don't get the attempt.
     """
 
     kind: ErrorKind
     retry_after_s: float
     weighed: tuple[WeighedEndpoint, ...] = ()
+    rule: RefusalRule | None = None
+    claim: Claim | None = None
 
 
 Choice = SelectedEndpoint | Refusal
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from dataclasses import replace
 
 from lycheepin.errors import ErrorKind
 from lycheepin.names import EndpointId, ServiceName
@@ -17,10 +18,13 @@
 from lycheepin.steering.choices import (
     AttemptRequirements,
     Choice,
+    Claim,
     Refusal,
+    RefusalRule,
     SelectedEndpoint,
     WeighedEndpoint,
 )
+from lycheepin.steering.contention import Contention
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
@@ -40,6 +44,8 @@
 # Requests that may wait at an endpoint, per slot, by priority. Lower priorities have smaller
 # limits, so that queue capacity is left for higher ones.
 WAITING_PER_SLOT = (0.5, 0.4, 0.2)
+# Largest fraction of an endpoint's slots that is kept free of requests with a lesser claim.
+KEPT_SLOTS = 0.15
 # Fraction of an endpoint's slots that caller retries may not use when they would miss their answer
 # target anyway: they would make other requests late as well.
 LATE_RETRY_RESERVE = 0.5
@@ -72,6 +78,7 @@
         self._placement = placement
         self._rate_limits = rate_limits
         self._cold_starts = ColdStartLimiter(limits, carriers)
+        self._contention = Contention()
 
     def apply_budget_limits(self, limits: BudgetLimits) -> None:
         """Replaces the budget limits of the deployment."""
@@ -92,6 +99,7 @@
         daemon's share of it, and those of other regions within the shares that these may have.
         """
         choice = self._choose(requirements, spec, now_s)
+        self._count_contention(requirements, choice, now_s)
         shares, service = self._region_shares, requirements.service
         if shares.needs_capacity(service, now_s):
             shares.observe_capacity(service, self._count_own_slots(service, now_s), now_s)
@@ -103,13 +111,28 @@
         if not self._must_move(requirements) and not shares.may_send(service, region, now_s):
             shares.count_refused(service, False, now_s)
             weighed = (self._weigh(choice.endpoint, now_s),)
-            return self._refuse(
-                choice.endpoint, ErrorKind.SHIFT_CAP, requirements.jitter, weighed, now_s
-            )
+            return self._refuse(choice.endpoint, ErrorKind.SHIFT_CAP, requirements, weighed, now_s)
         shares.count_sent(service, region, now_s)
         self._rate_limits.count_request(choice.endpoint.record.id, now_s)
         return choice
 
+    def _count_contention(
+        self, requirements: AttemptRequirements, choice: Choice, now_s: float
+    ) -> None:
+        """Counts the first attempt of a request where it competes for room."""
+        if requirements.tried:
+            return
+        match choice:
+            case SelectedEndpoint(endpoint=endpoint):
+                region, is_unplaced = endpoint.record.region, False
+            case Refusal(claim=Claim() as claim, rule=rule):
+                region = claim.region
+                is_unplaced = claim.rule is None and rule in (RefusalRule.FULL, RefusalRule.LATE)
+            case _:
+                return
+        is_sent = isinstance(choice, SelectedEndpoint)
+        self._contention.count_request(requirements, region, is_sent, is_unplaced, now_s)
+
     def _must_move(self, requirements: AttemptRequirements) -> bool:
         """Returns whether an attempt may not or could not be made in the own region."""
         allowed = requirements.allowed_regions
@@ -248,21 +271,43 @@
         preferred = candidates[:PREFERRED_ENDPOINTS]
         answer_s, rank = self._fastest(preferred, now_s)
         endpoint = preferred[rank]
+        claim = self._contention.find_claim(requirements, endpoint.record.region, now_s)
+        rule = self._find_obstacle(endpoint, answer_s, claim, requirements, now_s)
+        if rule is None:
+            return SelectedEndpoint(endpoint, rank)
+        past_deadline = now_s + answer_s > requirements.deadline_s
+        kind = ErrorKind.DEADLINE if past_deadline else ErrorKind.NO_CAPACITY
+        weighed = tuple(self._weigh(candidate, now_s) for candidate in preferred)
+        refusal = self._refuse(endpoint, kind, requirements, weighed, now_s)
+        return replace(refusal, rule=rule, claim=claim)
+
+    def _find_obstacle(
+        self,
+        endpoint: Endpoint,
+        answer_s: float,
+        claim: Claim,
+        requirements: AttemptRequirements,
+        now_s: float,
+    ) -> RefusalRule | None:
+        """Returns what keeps an endpoint from taking an attempt, or None if it takes it."""
         slots = endpoint.record.slots
+        load = endpoint.load(now_s) + 1
         processing_s = self._registry.mean_processing_s(requirements.service)
         late_retry = (
             requirements.is_caller_retry and now_s + processing_s > requirements.target_at_s
         )
-        if endpoint.load(now_s) + 1 <= slots * (1 - LATE_RETRY_RESERVE if late_retry else 1):
-            return SelectedEndpoint(endpoint, rank)
+        usable = slots * (1 - LATE_RETRY_RESERVE if late_retry else 1)
         priority = min(requirements.priority, len(WAITING_PER_SLOT) - 1)
-        max_load = slots * (1 + WAITING_PER_SLOT[priority])
-        if endpoint.load(now_s) + 1 <= max_load and now_s + answer_s <= requirements.target_at_s:
-            return SelectedEndpoint(endpoint, rank)
-        past_deadline = now_s + answer_s > requirements.deadline_s
-        kind = ErrorKind.DEADLINE if past_deadline else ErrorKind.NO_CAPACITY
-        weighed = tuple(self._weigh(candidate, now_s) for candidate in preferred)
-        return self._refuse(endpoint, kind, requirements.jitter, weighed, now_s)
+        waiting = WAITING_PER_SLOT[priority]
+        if load > slots * (1 + waiting):
+            return RefusalRule.FULL
+        if load > slots * (1 + waiting - claim.kept * (waiting + KEPT_SLOTS)):
+            return claim.rule
+        if load <= usable:
+            return None
+        if now_s + answer_s > requirements.target_at_s:
+            return RefusalRule.LATE_RETRY if late_retry else RefusalRule.LATE
+        return None
 
     def _weigh(self, endpoint: Endpoint, now_s: float) -> WeighedEndpoint:
         """Returns what decided about an endpoint, for the log."""
@@ -292,7 +337,7 @@
         self,
         endpoint: Endpoint,
         kind: ErrorKind,
-        jitter: float,
+        requirements: AttemptRequirements,
         weighed: tuple[WeighedEndpoint, ...],
         now_s: float,
     ) -> Refusal:
@@ -303,7 +348,7 @@
         slots = endpoint.record.slots
         excess = max(0.0, endpoint.load(now_s) + 1 - slots)
         wait_s = self._registry.mean_processing_s(endpoint.record.service) * (1 + excess / slots)
-        return Refusal(kind, _spread_retry(wait_s, jitter), weighed)
+        return Refusal(kind, _spread_retry(wait_s, requirements.jitter), weighed)
 
     @staticmethod
     def _refuse_limited(wait_s: float, jitter: float) -> Refusal:
