--- a/lycheepin/gateway/directory.py
+++ b/lycheepin/gateway/directory.py
@@ -76,6 +76,10 @@
             self._observe_change()
         return current != record
 
+    def find(self, name: DaemonName) -> DaemonRecord | None:
+        """Returns the entry of a daemon, or None if it is not registered."""
+        return self._daemons.get(name)
+
     def find_region(self, name: DaemonName) -> RegionName | None:
         """Returns the region of a daemon, or None if it is not registered."""
         record = self._daemons.get(name)
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -16,6 +16,7 @@
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.directory import DaemonRecord, Directory
 from lycheepin.gateway.mirror import StoreReplica
+from lycheepin.gateway.quota_exchange import QuotaExchange
 from lycheepin.gateway.relay import RELAY_PATH, Relay
 from lycheepin.gateway.request_handler import RequestHandler
 from lycheepin.gateway.request_log import RequestLog
@@ -110,6 +111,13 @@
         attempt_runner = AttemptRunner(
             self.registry, self._pool, platform.header_names, self.rate_limits, self.log
         )
+        self.quotas = QuotaExchange(
+            settings,
+            self.directory,
+            lambda: self.replica.age_s(self._loop.time()),
+            self.log,
+            self.metrics,
+        )
         self._handler = RequestHandler(
             platform.header_names,
             self.registry,
@@ -120,6 +128,7 @@
             self.suspicions,
             RequestLog(self.log, platform.header_names, self.rate_limits),
             self.metrics,
+            self.quotas,
         )
         self._caller_listener = Listener(self._handler.handle_request)
         self._stop_requested = asyncio.Event()
@@ -153,6 +162,7 @@
             *self._platform.create_tasks(self),
             self._caller_listener.close_expired_connections(),
             self._management_listener.close_expired_connections(),
+            self.quotas.run(),
         ):
             task = self._loop.create_task(coroutine)
             task.add_done_callback(self._on_task_done)
@@ -171,6 +181,7 @@
             for connection in list(listener.connections):
                 connection.abort()
         self.suspicions.detector.close()
+        self.quotas.close()
         self._pool.close()
 
     def stop(self) -> None:
@@ -224,6 +235,7 @@
             "quarantined_requests": float(self.suspects.quarantined),
             "configuration_version": float(self.state.table.version if self.state.table else 0),
             "store_answers": float(self.state.store_answers),
+            **self.quotas.collect_gauges(),
         }
 
     async def _open_listeners(self) -> None:
@@ -253,6 +265,7 @@
 
         def update_table(table: RoutingTable) -> None:
             self._handler.table = table
+            self.quotas.apply_configuration(table)
             self._caller_listener.limits = table.limits
 
         def release_endpoint(record: EndpointRecord) -> None:
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -10,6 +10,7 @@
 from lycheepin.gateway.attempt import AttemptOutcome, AttemptRunner, EndpointAnswer
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.identification import identify_caller
+from lycheepin.gateway.quota_exchange import QuotaExchange
 from lycheepin.gateway.request_log import RequestLog
 from lycheepin.metrics import Metrics
 from lycheepin.names import ServiceName
@@ -48,6 +49,8 @@
 # Retry-After, in seconds, of requests that no region may serve until the configuration changes.
 NO_REGION_RETRY_AFTER_S = 5.0
 MS_PER_S = 1000
+# Statuses of the daemon's own answers that tell when to come again.
+RETRY_LATER = frozenset((429, 503))
 # Statuses with which a daemon promises that a request has not run and will not.
 PROMISES = frozenset((408, 421, 429, 503))
 
@@ -70,6 +73,7 @@
         suspicions: SuspicionExchange,
         log: RequestLog,
         metrics: Metrics,
+        quotas: QuotaExchange,
     ) -> None:
         self._header_names = header_names
         self._registry = registry
@@ -78,6 +82,7 @@
         self._suspicions = suspicions
         self._log = log
         self._metrics = metrics
+        self._quotas = quotas
         self._traffic_splitter = TrafficSplitter()
         self._caller_retries = CallerRetries()
         self._budget_limits = budget_limits
@@ -151,8 +156,13 @@
             (self._header_names.object_key,),
             workspace.name if workspace else None,
         )
+        quota_retry_after_s = self._quotas.admit(progress)
+        if quota_retry_after_s is not None:
+            self._finish_with_error(request, progress, ErrorKind.QUOTA_SPENT, quota_retry_after_s)
+            return
         try:
             await self._try_endpoints(request, body, progress, table)
+            self._quotas.settle(progress)
         except asyncio.CancelledError:
             self._metrics.count("callers_left")
             self._log.write_caller_left(request, progress)
@@ -201,6 +211,7 @@
                 and progress.try_reserve_attempt(
                     result, retry_share, self._carriers.slack_fraction(loop.time()), loop.time()
                 )
+                and self._quotas.admit_again(progress)
             ):
                 continue
             if isinstance(outcome, EndpointAnswer):
@@ -362,7 +373,7 @@
         """Sends the answer that belongs to an error kind."""
         answer = Fault(kind).answer
         headers: Headers = []
-        if retry_after_s is not None and answer.status == 503:
+        if retry_after_s is not None and answer.status in RETRY_LATER:
             headers.append((b"Retry-After", f"{retry_after_s:.2f}".encode()))
         identifier = request.header(self._header_names.request_id)
         if identifier is not None:
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -8,6 +8,7 @@
 from lycheepin.decoding import MAX_PORT, require_ipv4
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
+from lycheepin.steering.quota_shares import QuotaTerms
 from lycheepin.steering.store_contact import DEFAULT_HEARTBEAT_S
 
 __all__ = ["GatewaySettings", "SocketAddress"]
@@ -58,6 +59,7 @@
     start for the first time. Endpoints write to their entries every `heartbeat_s`, and leases of
     the store live for `min_lease_s` at least. Of the requests from a region at most the part
     `max_shift` may change the region in which they run within seconds; None: any.
+    Daemons exchange tokens of quotas on the UDP port `exchange_port`, 0 if they don't.
     """
 
     name: DaemonName
@@ -82,3 +84,5 @@
     heartbeat_s: float = DEFAULT_HEARTBEAT_S
     min_lease_s: float = 0.0
     max_shift: float | None = None
+    quota_terms: QuotaTerms = QuotaTerms()
+    exchange_port: int = 0
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -10,6 +10,7 @@
 from lycheepin.gateway.settings import GatewaySettings, SocketAddress
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
+from lycheepin.steering.quota_shares import QuotaTerms
 from lycheepin.steering.store_contact import DEFAULT_HEARTBEAT_S
 
 __all__ = ["SettingsError", "decode_settings", "load_settings"]
@@ -71,6 +72,12 @@
             heartbeat_s=float(document.get("heartbeatIntervalMs", DEFAULT_HEARTBEAT_S * MS_PER_S))
             / MS_PER_S,
             max_shift=bounds.get("maxShift"),
+            quota_terms=QuotaTerms(
+                bounds.get("quotaWindowS", 5.0),
+                bounds.get("quotaOver", 0.1),
+                bounds.get("quotaSlack", 20.0),
+            ),
+            exchange_port=int(next(iter(document.get("innerPortRange", ())), 0)),
             link_mbps=float(limits.get("linkMbps", 0.0)),
             # `cpuShare` is a share of one core, and that core is `cores` times as fast
             processors=float(limits.get("cpuShare", 0.0)) * float(limits.get("cores", 1)),
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -17,6 +17,7 @@
 from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.quotas import Spend
 from lycheepin.steering.routes import RequestKind, Route
 from lycheepin.steering.suspects import Fingerprint
 from lycheepin.steering.workspaces import Workspace, intersect_regions
@@ -89,7 +90,7 @@
     retry. `body_buffered` is true while the whole body is buffered, so that it can be sent again.
     `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections.
     `fingerprint` is the same for all requests like it. `workspace` is that of the
-    caller, None if it needs none.
+    caller, None if it needs none; `spend` is the token of its quota that the request holds.
     """
 
     route: Route
@@ -106,6 +107,7 @@
     may_have_run: bool = False
     fingerprint: Fingerprint = Fingerprint("")
     workspace: Workspace | None = None
+    spend: Spend | None = None
 
     def build_requirements(self, excluding: EndpointId | None = None) -> AttemptRequirements:
         """Returns the requirements of the next attempt, without tried endpoints.
--- a/schema/messages.thrift
+++ b/schema/messages.thrift
@@ -136,3 +136,33 @@
     6: i32 waited_ms,
     7: binary news,
 }
+
+// Tokens of a workspace that a daemon asks for, in thousandths, and the requests that it gets in
+// 1,000 s. `workspace` is a hash of the name; `need` is a Need value.
+struct QuotaWant {
+    1: i32 workspace,
+    2: i32 tokens,
+    3: i32 demand,
+    4: i32 need,
+}
+
+// The end of the loan of a workspace's tokens that answered an ask; thousandths that are unspent.
+struct QuotaReturn {
+    1: i64 ask,
+    2: i32 workspace,
+    3: i32 unspent,
+}
+
+// Tokens of a workspace that are lent, in thousandths.
+struct QuotaLoan {
+    1: i32 workspace,
+    2: i32 tokens,
+}
+
+// An ask with its number, or the loans that answer the ask of this number.
+struct QuotaMessage {
+    1: i64 number,
+    2: list<QuotaWant> wants,
+    3: list<QuotaReturn> returns,
+    4: list<QuotaLoan> loans,
+}
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,6 +3,7 @@
 import unittest
 
 from lycheepin.platform.settings import SettingsError, load_settings
+from lycheepin.steering.quota_shares import QuotaTerms
 
 SETTINGS = """
 nodeName = "edge-north-1"
@@ -11,7 +12,8 @@
 region = "north"
 seeds = ["10.0.0.2:8146"]
 unknownField = [1, 2]
-bounds = ["gracePeriodS=6","retryBudgetRatio=0.2","budgetSlack=62","closed=true"]
+bounds = ["gracePeriodS=6","retryBudgetRatio=0.2","budgetSlack=62","closed=true","quotaOver=0.2"]
+innerPortRange = [7660, 7675]
 [zones]
 north-1 = "north"
 [listen]
@@ -39,6 +41,8 @@
         self.assertEqual(settings.terms.retry_slack, 62.0)  # type: ignore[attr-defined]
         self.assertEqual(len(settings.seeds), 1)  # type: ignore[attr-defined]
         self.assertEqual(settings.min_lease_s, 1.5)  # type: ignore[attr-defined]
+        self.assertEqual(settings.quota_terms, QuotaTerms(5.0, 0.2, 20.0))  # type: ignore
+        self.assertEqual(settings.exchange_port, 7660)  # type: ignore[attr-defined]
 
     def test_bounds_may_be_one_string_separated_by_commas(self) -> None:
         start = SETTINGS.index("bounds")
