--- a/lycheepin/gateway/quota_exchange.py
+++ b/lycheepin/gateway/quota_exchange.py
@@ -66,7 +66,12 @@
         self._directory_change = -1
         self._heard_s: dict[DaemonName, float] = {}
         self._greeted_s = 0.0
-        shares = QuotaShares(settings.name, lambda: directory.carriers, read_clock_s())
+        shares = QuotaShares(
+            settings.name,
+            lambda: directory.carriers,
+            read_clock_s(),
+            lambda name: directory.find(name) is not None,
+        )
         self.ledger = QuotaLedger(shares, settings.quota_terms, read_clock_s(), self._rank_peer)
 
     # Requests
--- a/lycheepin/steering/quota_bucket.py
+++ b/lycheepin/steering/quota_bucket.py
@@ -25,7 +25,7 @@
 # Time in seconds before the end of a loan in which another one is asked for.
 RENEWAL_S = 0.6
 # Part of the wanted stock below which tokens run low.
-LOW_FRACTION = 0.5
+LOW_FRACTION = 0.35
 # Time in seconds without a request after which a daemon keeps no token for the next one.
 IDLE_DEMAND_S = 20.0
 ROUNDING = 1e-9
--- a/lycheepin/steering/quota_shares.py
+++ b/lycheepin/steering/quota_shares.py
@@ -34,11 +34,15 @@
 LOAN_RESERVE_S = 0.1
 # Longest time in seconds for which a borrower may spend a loan.
 MAX_LOAN_S = 5.0
-# Time in seconds for which the share of a carrier that is no longer listed is kept free, and for
-# which it uses its share itself. In a minority the others have probably not ended.
+# Time in seconds for which the share of a carrier that is not registered any more is kept free, and
+# for which it uses its share itself. In a minority the others have probably not ended.
 HOLD_S = 30.0
 MINORITY_HOLD_S = 300.0
 OWN_HOLD_S = 15.0
+# The same for a daemon that is registered, but no longer a carrier; it stops at once.
+RETIRED_HOLD_S = 6.0
+# Interval in seconds of the checks whether these times are over.
+CHECK_INTERVAL_S = 0.2
 # Longest time in seconds between two updates; after a longer one the process starts anew.
 MAX_GAP_S = 15.0
 
@@ -91,14 +95,21 @@
 class QuotaShares:
     """This daemon's share of the quotas, by the carriers that it knows.
 
-    `find_carriers` returns their names, as the same object until they change. Times are seconds of
-    a clock that goes on while the machine is suspended.
+    `find_carriers` returns their names, as the same object until they change, and `is_registered`
+    whether a daemon is known at all. Times are seconds of a clock that goes on while the machine is
+    suspended.
     """
 
     def __init__(
-        self, own: DaemonName, find_carriers: Callable[[], Sequence[DaemonName]], now_s: float
+        self,
+        own: DaemonName,
+        find_carriers: Callable[[], Sequence[DaemonName]],
+        now_s: float,
+        is_registered: Callable[[DaemonName], bool] = lambda name: False,
     ) -> None:
         self._own = own
+        self._is_registered = is_registered
+        self._checked_s = now_s
         self._find_carriers = find_carriers
         self._listed: Sequence[DaemonName] = ()
         self._departed_s: dict[DaemonName, float] = {}
@@ -182,16 +193,17 @@
     def _update_carriers(self, now_s: float) -> None:
         """Applies changes of the listed carriers, and the end of the time of departed ones."""
         listed, departed = self._find_carriers(), self._departed_s
-        if listed is self._listed and not departed:
+        if listed is self._listed and (not departed or now_s < self._checked_s + CHECK_INTERVAL_S):
             return
+        self._checked_s = now_s
         for name in {*self._listed}.difference(listed):
             departed.setdefault(name, now_s)
-        known = {*listed, *departed}
-        hold_s = HOLD_S if 2 * len(listed) >= len(known) else MINORITY_HOLD_S
-        for name in [
-            n for n, left_s in departed.items() if n in listed or now_s >= left_s + hold_s
-        ]:
-            del departed[name]
+        gone = {name for name in departed if not self._is_registered(name)}
+        hold_s = HOLD_S if len(listed) >= len(gone) else MINORITY_HOLD_S
+        for name, left_s in list(departed.items()):
+            held_s = hold_s if name in gone else RETIRED_HOLD_S
+            if name in listed or now_s >= left_s + held_s:
+                del departed[name]
         self._listed = listed
         known = {*listed, *departed}
         if known != {*self._order}:
@@ -199,8 +211,9 @@
             self._order = tuple(sorted(known, key=self._hashes.__getitem__))
             self._accrued_at_change = list(self._accrued)
             self.change_count += 1
-        own_left_s = departed.get(self._own)
-        is_carrier = self._own in known and (own_left_s is None or now_s < own_left_s + OWN_HOLD_S)
+        is_carrier = self._own in listed
+        if not is_carrier and self._own in departed and self._own in gone:
+            is_carrier = now_s < departed[self._own] + OWN_HOLD_S
         self._position = self._order.index(self._own) if is_carrier else None
 
 
--- a/lycheepin/steering/quotas.py
+++ b/lycheepin/steering/quotas.py
@@ -42,9 +42,8 @@
 MIN_DEMAND_PER_S = 0.05
 # Parts of the wanted stock that may be missing before a daemon asks.
 MIN_MISSING = 0.25
-# Intervals in seconds between two asks for the same workspace when its tokens run low, and else.
-URGENT_INTERVAL_S = 0.1
-CALM_INTERVAL_S = 0.55
+# Intervals in seconds between two asks for the same workspace, by the need.
+ASK_INTERVALS_S = {Need.CALM: 0.55, Need.LOW: 0.1, Need.PRESSED: 0.19}
 # Numbers of lenders that are asked at once before requests are refused, and the number of tokens
 # that one of them can spare at least.
 MIN_LENDERS = 2
@@ -64,7 +63,7 @@
 MAX_WANTS = 40
 MAX_RETURNS = 40
 # Time in seconds after a refusal in which a loan comes, and the longest that a caller is told.
-LOAN_DELAY_S = 0.5
+LOAN_DELAY_S = 0.3
 MAX_RETRY_AFTER_S = 5.0
 # Largest number that a message may carry: tokens, or requests per second.
 MAX_AMOUNT = 1e6
@@ -234,10 +233,10 @@
         self._in_demand.add(name)
         if bucket.holdings >= 1.0 - ROUNDING:
             own, borrowed = bucket.take(now_s)
-            self.is_urgent |= bucket.find_need(now_s) is not Need.CALM
+            self.is_urgent |= bucket.find_need(now_s) is Need.LOW
             return Spend(name, now_s, own, borrowed)
         bucket.refused.add(1.0, now_s)
-        self.is_urgent = True
+        self.is_urgent |= bucket.find_need(now_s) is Need.LOW
         return self._explain_refusal(name, bucket, now_s)
 
     def count_tokens(self, name: WorkspaceName, now_s: float) -> float:
@@ -459,7 +458,7 @@
         if not lenders:
             return []
         need = bucket.find_need(now_s) if in_demand else Need.CALM
-        bucket.next_ask_s = now_s + (CALM_INTERVAL_S if need is Need.CALM else URGENT_INTERVAL_S)
+        bucket.next_ask_s = now_s + ASK_INTERVALS_S[need]
         count = len(lenders)
         if need is not Need.PRESSED:
             count = min(count, self._count_lenders(bucket.plan, missing))
--- a/tests/steering/test_quotas.py
+++ b/tests/steering/test_quotas.py
@@ -136,6 +136,24 @@
         self.assertEqual({*fractions[4 : 5 + int(HOLD_S)]}, {0.5})
         self.assertEqual(fractions[-1], 1.0)
 
+    def test_daemon_that_was_no_carrier_for_long_keeps_no_share_free(self) -> None:
+        everyone = pick(*range(74))
+        names = [everyone]
+        shares = {
+            name: QuotaShares(name, lambda: names[0], 0.0, lambda name: True)
+            for name in pick(0, 70)
+        }
+        fractions = []
+        for now_s in range(20):
+            for share in shares.values():
+                share.advance(float(now_s))
+            fractions.append([share.fraction for share in shares.values()])
+            if now_s == 5:
+                names[0] = everyone[:12]
+        self.assertEqual(fractions[5], [1 / 74, 1 / 74])
+        self.assertEqual(fractions[6], [1 / 74, 0.0])
+        self.assertEqual(fractions[-1], [1 / 12, 0.0])
+
     def test_carrier_out_of_touch_or_suspended_for_long_has_no_share(self) -> None:
         names = (DaemonName("a"), DaemonName("b"))
         shares = QuotaShares(names[0], lambda: names, 0.0)
