--- a/lycheepin/steering/quota_bucket.py
+++ b/lycheepin/steering/quota_bucket.py
@@ -18,6 +18,12 @@
 STOCK_S = 1.0
 VARIANCE_FACTOR = 4.0
 SPARSE_TOKENS = 1.8
+# Most requests that are expected in the time since the last one, and the shortest time in seconds
+# that tells something.
+REQUESTS_PER_GAP = 3.0
+MIN_GAP_S = 0.001
+# Time in seconds after the last refusal for which tokens are needed most.
+REFUSAL_MEMORY_S = 1.0
 # Times in seconds after the last use of a loan after which it is given back: when nothing is left,
 # as the request may still be refused, and when some of it is.
 SPENT_S = 0.3
@@ -94,6 +100,7 @@
     borrowed: list[BorrowedTokens] = field(default_factory=list)
     demand: DecayingRate = field(default_factory=DecayingRate)
     refused: DecayingRate = field(default_factory=DecayingRate)
+    refused_s: float = 0.0
     granted: DecayingRate = field(default_factory=DecayingRate)
     askers: dict[DaemonName, tuple[float, float]] = field(default_factory=dict)
     next_ask_s: float = 0.0
@@ -125,14 +132,19 @@
         """The tokens that others may still spend."""
         return sum(amount for _, amount in self.lent.values())
 
+    def find_demand(self, now_s: float) -> float:
+        """Returns the requests per second that come here; few once none has come for long."""
+        gap_s = max(MIN_GAP_S, now_s - self.requested_s)
+        return min(self.demand.per_s(now_s), REQUESTS_PER_GAP / gap_s)
+
     def find_target(self, now_s: float) -> float:
         """Returns how many tokens this daemon wants to have."""
-        expected = STOCK_S * self.demand.per_s(now_s)
+        expected = STOCK_S * self.find_demand(now_s)
         return max(1.0, expected + VARIANCE_FACTOR * sqrt(expected) - SPARSE_TOKENS)
 
     def find_need(self, now_s: float) -> Need:
         """Returns how much tokens are needed here."""
-        if self.refused.count(now_s) > MIN_REFUSALS:
+        if self.refused.count(now_s) > MIN_REFUSALS and now_s < self.refused_s + REFUSAL_MEMORY_S:
             return Need.PRESSED
         low = max(1.0, LOW_FRACTION * self.find_target(now_s))
         return Need.LOW if self.find_lasting(now_s) < low - ROUNDING else Need.CALM
--- a/lycheepin/steering/quotas.py
+++ b/lycheepin/steering/quotas.py
@@ -236,6 +236,7 @@
             self.is_urgent |= bucket.find_need(now_s) is Need.LOW
             return Spend(name, now_s, own, borrowed)
         bucket.refused.add(1.0, now_s)
+        bucket.refused_s = now_s
         self.is_urgent |= bucket.find_need(now_s) is Need.LOW
         return self._explain_refusal(name, bucket, now_s)
 
@@ -395,7 +396,7 @@
             min(MAX_RETRY_AFTER_S, LOAN_DELAY_S + waiting / max(income_per_s, ROUNDING)),
             bucket.holdings,
             share_per_s,
-            bucket.demand.per_s(now_s),
+            bucket.find_demand(now_s),
             bucket.last_loan,
             None if bucket.last_loan_s is None else now_s - bucket.last_loan_s,
         )
@@ -413,7 +414,7 @@
             return bucket.count_spare(now_s)
         if want.need is Need.LOW:
             return bucket.tokens if bucket.is_idle(now_s) else bucket.count_spare(now_s)
-        own_demand = bucket.demand.per_s(now_s)
+        own_demand = bucket.find_demand(now_s)
         others = sum(d for name, (_, d) in bucket.askers.items() if name != borrower)
         bucket.askers[borrower] = (now_s + ASKER_MEMORY_S, want.demand_per_s)
         surplus = max(0.0, want.demand_per_s - own_demand)
@@ -432,7 +433,7 @@
                 continue
             bucket = self._find_bucket(name, now_s)
             found.append((-bucket.refused.count(now_s), name))
-            in_demand = filling or bucket.demand.per_s(now_s) >= MIN_DEMAND_PER_S
+            in_demand = filling or bucket.find_demand(now_s) >= MIN_DEMAND_PER_S
             if not in_demand and not bucket.borrowed:
                 self._in_demand.discard(name)
         return [name for _, name in sorted(found)]
@@ -451,7 +452,7 @@
         has_enough = missing < MIN_MISSING * target and lasting >= 1.0 - ROUNDING
         if has_enough or now_s < bucket.next_ask_s:
             return []
-        in_demand = bucket.demand.per_s(now_s) >= MIN_DEMAND_PER_S
+        in_demand = bucket.find_demand(now_s) >= MIN_DEMAND_PER_S
         if not in_demand and not self._is_filling(now_s):
             return []
         lenders = self._list_lenders(name, bucket.plan.max_holders)
@@ -466,7 +467,7 @@
         first = self._round % len(lenders)
         chosen = [lenders[(first + k) % len(lenders)] for k in range(count)]
         tokens = min(missing, OVER_ASKED * missing / count)
-        want = Want(identify_by_number(name), tokens, bucket.demand.per_s(now_s), need)
+        want = Want(identify_by_number(name), tokens, bucket.find_demand(now_s), need)
         return [(lender, want) for lender in chosen]
 
     def _count_lenders(self, plan: QuotaPlan, missing: float) -> int:
