Loans serve refused requests first: parts of tokens, surplus to all, returned before they end

Cause: after restarts tokens of small workspaces lay about in parts of which none made a whole, lenders with equal demand kept their surplus, and unspent loans ended unused.

--- a/lycheepin/steering/quota_bucket.py
+++ b/lycheepin/steering/quota_bucket.py
@@ -28,8 +28,10 @@
 # as the request may still be refused, and when some of it is.
 SPENT_S = 0.3
 IDLE_S = 1.0
-# Time in seconds before the end of a loan in which another one is asked for.
+# Times in seconds before the end of a loan in which another one is asked for, and in which what is
+# left of it is given back.
 RENEWAL_S = 0.6
+RETURN_S = 0.25
 # Part of the wanted stock below which tokens run low.
 LOW_FRACTION = 0.35
 # Time in seconds without a request after which a daemon keeps no token for the next one.
@@ -64,11 +66,12 @@
 
 
 class Need(IntEnum):
-    """How much a daemon needs tokens: its stock is not full, runs low, or it refuses requests."""
+    """How much a daemon needs tokens: its stock is not full or runs low, or it refuses requests."""
 
     CALM = 0
     LOW = 1
-    PRESSED = 2
+    REFUSING = 2
+    PRESSED = 3
 
 
 @dataclass
@@ -142,10 +145,17 @@
         expected = STOCK_S * self.find_demand(now_s)
         return max(1.0, expected + VARIANCE_FACTOR * sqrt(expected) - SPARSE_TOKENS)
 
+    def has_refused(self, now_s: float) -> bool:
+        """Returns whether a request was refused lately."""
+        return now_s < self.refused_s + REFUSAL_MEMORY_S
+
     def find_need(self, now_s: float) -> Need:
         """Returns how much tokens are needed here."""
-        if self.refused.count(now_s) > MIN_REFUSALS and now_s < self.refused_s + REFUSAL_MEMORY_S:
-            return Need.PRESSED
+        if self.has_refused(now_s):
+            if self.refused.count(now_s) > MIN_REFUSALS:
+                return Need.PRESSED
+            if self.holdings < 1.0 - ROUNDING:
+                return Need.REFUSING
         low = max(1.0, LOW_FRACTION * self.find_target(now_s))
         return Need.LOW if self.find_lasting(now_s) < low - ROUNDING else Need.CALM
 
@@ -174,13 +184,14 @@
         return own, tuple(parts)
 
     def give_back(self, now_s: float) -> list[BorrowedTokens]:
-        """Removes and returns the loans that are spent, or that are no longer needed."""
+        """Removes and returns the loans that are spent, not needed, or about to end."""
         surplus = self.holdings - self.find_target(now_s)
         ended = []
         for loan in self.borrowed:
-            if now_s >= loan.used_s + (SPENT_S if loan.left <= 0.0 else IDLE_S) and (
-                loan.left <= max(0.0, surplus)
-            ):
+            idle_s = now_s - loan.used_s
+            is_spent = loan.left <= 0.0 and idle_s >= SPENT_S
+            is_needless = 0.0 < loan.left <= surplus and idle_s >= IDLE_S
+            if is_spent or is_needless or loan.until_s <= now_s + RETURN_S:
                 surplus -= loan.left
                 ended.append(loan)
         if ended:
--- a/lycheepin/steering/quota_shares.py
+++ b/lycheepin/steering/quota_shares.py
@@ -29,7 +29,7 @@
 MAX_HOLDERS = 32
 # Time in seconds for which a higher share must have lasted before it counts. A new process has no
 # tokens of its own before, as its predecessor's may be lent.
-SETTLE_S = 2.5
+SETTLE_S = 1.5
 # Time in seconds by which a loan counts longer at the lender than at the borrower, beyond its way.
 LOAN_RESERVE_S = 0.1
 # Longest time in seconds for which a borrower may spend a loan.
--- a/lycheepin/steering/quotas.py
+++ b/lycheepin/steering/quotas.py
@@ -43,7 +43,9 @@
 # Parts of the wanted stock that may be missing before a daemon asks.
 MIN_MISSING = 0.25
 # Intervals in seconds between two asks for the same workspace, by the need.
-ASK_INTERVALS_S = {Need.CALM: 0.55, Need.LOW: 0.1, Need.PRESSED: 0.19}
+ASK_INTERVALS_S = {Need.CALM: 0.55, Need.LOW: 0.1, Need.REFUSING: 0.1, Need.PRESSED: 0.19}
+# Needs for which others are asked before the next round.
+URGENT_NEEDS = (Need.LOW, Need.REFUSING)
 # Numbers of lenders that are asked at once before requests are refused, and the number of tokens
 # that one of them can spare at least.
 MIN_LENDERS = 2
@@ -233,11 +235,11 @@
         self._in_demand.add(name)
         if bucket.holdings >= 1.0 - ROUNDING:
             own, borrowed = bucket.take(now_s)
-            self.is_urgent |= bucket.find_need(now_s) is Need.LOW
+            self.is_urgent |= bucket.find_need(now_s) in URGENT_NEEDS
             return Spend(name, now_s, own, borrowed)
         bucket.refused.add(1.0, now_s)
         bucket.refused_s = now_s
-        self.is_urgent |= bucket.find_need(now_s) is Need.LOW
+        self.is_urgent |= bucket.find_need(now_s) in URGENT_NEEDS
         return self._explain_refusal(name, bucket, now_s)
 
     def count_tokens(self, name: WorkspaceName, now_s: float) -> float:
@@ -406,20 +408,25 @@
     ) -> float:
         """Returns how many tokens may be lent to a borrower.
 
-        One that refuses requests gets its part by demand, also if others ask or this daemon needs
-        some; any other one what is beyond the stock that this daemon wants, which is nothing while
-        no requests come and the borrower's tokens run low.
+        That is what is beyond the stock that this daemon wants, which is nothing while no requests
+        come and the borrower's tokens run low. A borrower that refuses many requests gets its part
+        by demand, also if others ask or this daemon needs some.
         """
         if want.need is Need.CALM:
             return bucket.count_spare(now_s)
+        spare = bucket.count_spare(now_s)
         if want.need is Need.LOW:
-            return bucket.tokens if bucket.is_idle(now_s) else bucket.count_spare(now_s)
+            return bucket.tokens if bucket.is_idle(now_s) else spare
+        if want.need is Need.REFUSING:
+            # parts of a token help nobody here, and may complete one there
+            is_part = bucket.holdings < 1.0 - ROUNDING and not bucket.has_refused(now_s)
+            return bucket.tokens if is_part or bucket.is_idle(now_s) else spare
         own_demand = bucket.find_demand(now_s)
         others = sum(d for name, (_, d) in bucket.askers.items() if name != borrower)
         bucket.askers[borrower] = (now_s + ASKER_MEMORY_S, want.demand_per_s)
         surplus = max(0.0, want.demand_per_s - own_demand)
         total = want.demand_per_s + own_demand + others
-        return bucket.tokens * surplus / total if total > 0.0 else 0.0
+        return max(spare, bucket.tokens * surplus / total) if total > 0.0 else spare
 
     def _list_in_demand(self, now_s: float) -> list[WorkspaceName]:
         """Returns the workspaces for which tokens may be needed, those that refuse most first."""
@@ -461,7 +468,7 @@
         need = bucket.find_need(now_s) if in_demand else Need.CALM
         bucket.next_ask_s = now_s + ASK_INTERVALS_S[need]
         count = len(lenders)
-        if need is not Need.PRESSED:
+        if need < Need.REFUSING:
             count = min(count, self._count_lenders(bucket.plan, missing))
         # all wants of a moment go to the same lenders, so that few messages hold them
         first = self._round % len(lenders)
