--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -8,6 +8,7 @@
 from lycheepin.decoding import MAX_PORT, require_ipv4
 from lycheepin.names import Address, DaemonName, RegionName, ZoneName
 from lycheepin.steering.budgets import BudgetLimits
+from lycheepin.steering.quota_shares import QuotaTerms
 from lycheepin.steering.store_contact import DEFAULT_HEARTBEAT_S
 
 __all__ = ["GatewaySettings", "SocketAddress"]
@@ -59,6 +60,7 @@
     the store live for `min_lease_s` at least. Of the requests from a region at most the part
     `max_shift` may change the region in which they run within seconds; None: any. `memory_mb` and
     `max_fds` are the machine's memory and descriptors; 0: the defaults of `Machine`.
+    Daemons exchange tokens of quotas on the UDP port `exchange_port`, 0 if they don't.
     """
 
     name: DaemonName
@@ -85,3 +87,5 @@
     max_shift: float | None = None
     memory_mb: float = 0.0
     max_fds: int = 0
+    quota_terms: QuotaTerms = QuotaTerms()
+    exchange_port: int = 0
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -27,7 +27,6 @@
 )
 from lycheepin.errors import DECODE_ERRORS
 from lycheepin.gateway.dialect import HeaderNames
-from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.own_entries import (
     DAEMON_PREFIX,
     SUSPICION_PREFIX,
@@ -35,6 +34,14 @@
     decode_suspicion,
 )
 from lycheepin.gateway.settings import SocketAddress
+from lycheepin.gateway.store_entries import (
+    ConfigurationEntry,
+    DaemonEntry,
+    DecodedEntry,
+    EndpointEntry,
+    EvacuationEntry,
+    UnreadableEntry,
+)
 from lycheepin.names import EndpointId, RegionName, ServiceName, WorkspaceName, ZoneName
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.routes import (
@@ -48,17 +55,7 @@
 from lycheepin.steering.suspects import Suspicion
 from lycheepin.steering.workspaces import Workspace, WorkspaceKeys
 
-__all__ = [
-    "HEADER_NAMES",
-    "ConfigurationEntry",
-    "DaemonEntry",
-    "DecodedEntry",
-    "EndpointEntry",
-    "EvacuationEntry",
-    "UnreadableEntry",
-    "decode_entry",
-    "parse_key",
-]
+__all__ = ["HEADER_NAMES", "decode_entry", "parse_key"]
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
@@ -120,52 +117,6 @@
     home_regions: list[Text] | None = None
 
 
-@dataclass(frozen=True)
-class ConfigurationEntry:
-    """One version of the configuration."""
-
-    table: RoutingTable
-
-
-@dataclass(frozen=True)
-class EvacuationEntry:
-    """An evacuated zone: its endpoints get no requests until the entry is removed."""
-
-    zone: ZoneName
-
-
-@dataclass(frozen=True)
-class EndpointEntry:
-    """The entry that an endpoint keeps about itself."""
-
-    record: EndpointRecord
-
-
-@dataclass(frozen=True)
-class DaemonEntry:
-    """The entry that a daemon keeps about itself."""
-
-    record: DaemonRecord
-
-
-@dataclass(frozen=True)
-class UnreadableEntry:
-    """A malformed entry and the reason why it can't be decoded."""
-
-    reason: str
-
-
-DecodedEntry = (
-    ConfigurationEntry
-    | EvacuationEntry
-    | EndpointEntry
-    | DaemonEntry
-    | Suspicion
-    | UnreadableEntry
-    | None
-)
-
-
 @dataclass(frozen=True)
 class EntryKey:
     """A parsed key: the type of its entry, and the name after the key's prefix."""
--- a/lycheepin/platform/reader.py
+++ b/lycheepin/platform/reader.py
@@ -7,16 +7,15 @@
 from lycheepin.gateway.deployment_state import DeploymentState
 from lycheepin.gateway.own_entries import SUSPICION_PREFIX
 from lycheepin.gateway.storage import Item
-from lycheepin.names import DaemonName, EndpointId, RegionName, ZoneName
-from lycheepin.platform.entries import (
+from lycheepin.gateway.store_entries import (
     ConfigurationEntry,
     DaemonEntry,
     EndpointEntry,
     EvacuationEntry,
     UnreadableEntry,
-    decode_entry,
-    parse_key,
 )
+from lycheepin.names import DaemonName, EndpointId, RegionName, ZoneName
+from lycheepin.platform.entries import decode_entry, parse_key
 from lycheepin.steering.suspects import Suspicion
 
 __all__ = ["PlatformReader"]
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -17,6 +17,7 @@
 from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.quotas import Spend
 from lycheepin.steering.routes import RequestKind, Route
 from lycheepin.steering.suspects import Fingerprint
 from lycheepin.steering.workspaces import Workspace, intersect_regions
@@ -90,7 +91,7 @@
     `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections and
     `running` the attempts that have not ended.
     `fingerprint` is the same for all requests like it. `workspace` is that of the
-    caller, None if it needs none.
+    caller, None if it needs none; `spend` is the token of its quota that the request holds.
     """
 
     route: Route
@@ -108,6 +109,7 @@
     may_have_run: bool = False
     fingerprint: Fingerprint = Fingerprint("")
     workspace: Workspace | None = None
+    spend: Spend | None = None
 
     def build_requirements(self, excluding: EndpointId | None = None) -> AttemptRequirements:
         """Returns the requirements of the next attempt, without tried endpoints.
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -4,15 +4,15 @@
 from lycheepin.gateway.directory import DaemonRecord
 from lycheepin.gateway.own_entries import encode_daemon
 from lycheepin.gateway.settings import SocketAddress
-from lycheepin.names import Address, DaemonName, RegionName, ZoneName
-from lycheepin.platform.entries import (
+from lycheepin.gateway.store_entries import (
     ConfigurationEntry,
     DaemonEntry,
     EndpointEntry,
     EvacuationEntry,
     UnreadableEntry,
-    decode_entry,
 )
+from lycheepin.names import Address, DaemonName, RegionName, ZoneName
+from lycheepin.platform.entries import decode_entry
 from lycheepin.steering.routes import RequestKind
 from standins.servers import EndpointStandIn
 from tests.gateway.deployment import ZONES, configuration
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -9,8 +9,9 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from lycheepin.gateway.store_entries import EndpointEntry, UnreadableEntry
 from lycheepin.names import EndpointId
-from lycheepin.platform.entries import EndpointEntry, UnreadableEntry, decode_entry
+from lycheepin.platform.entries import decode_entry
 from standins.servers import EndpointStandIn
 from tests.gateway.deployment import ZONES, DeploymentCase, request
 from tests.steering.builders import SPEC, build_dispatcher, build_registry, build_requirements
--- a/tests/soak/test_switches.py
+++ b/tests/soak/test_switches.py
@@ -11,8 +11,9 @@
 
 import httptools
 
+from lycheepin.gateway.store_entries import UnreadableEntry
 from lycheepin.names import RegionName, ZoneName
-from lycheepin.platform.entries import UnreadableEntry, decode_entry
+from lycheepin.platform.entries import decode_entry
 from soak.mutants import MUTANTS
 from soak.switching import (
     MAX_DRAWN,
