--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -45,7 +45,9 @@
     Without `check_time_limits`, guarantees with a time limit are not checked.
     """
     ledger = RequestLedger(check_time_limits)
-    from_start = {s.name: s.dose for s in switches if SWITCHES[s.name].from_start}
+    needed = [SWITCHES[SWITCHES[s.name].needs] for s in switches if SWITCHES[s.name].needs]
+    from_start = {switch.name: switch.doses[0] for switch in needed}
+    from_start |= {s.name: s.dose for s in switches if SWITCHES[s.name].from_start}
     deployment = Deployment(seed, daemon_count, ledger, folder, from_start)
     tasks: list[asyncio.Task[None]] = []
     try:
@@ -62,8 +64,10 @@
         served_ratio = (ledger.success_count - successes_before) / max(
             1, ledger.request_count - requests_before
         )
-        ledger.check_recovery(served_ratio, MIN_RECOVERED_RATIO)
+        has_quotas = deployment.board.dose("platform.quotas") > 0
+        ledger.check_recovery(served_ratio, 0.0 if has_quotas else MIN_RECOVERED_RATIO)
         ledger.check_retry_budgets()
+        ledger.check_quotas()
         for task in tasks:
             if task.done() and not task.cancelled():
                 task.result()
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -9,8 +9,9 @@
 
 from lycheepin.gateway.settings import SocketAddress
 from soak.daemons import Daemon
+from soak.endpoints import DOWNLOAD_PATH
 from soak.ledger import SentRequest
-from soak.world import DESK, FILES, ROUTE_TIMEOUT_S, Deployment
+from soak.world import DESK, FILES, PUBLIC_PATH, ROUTE_TIMEOUT_S, Deployment
 from standins.messages import read_answer, read_final_answer, request
 from standins.odd_requests import BODY_SIZES, encode_chunked, vary_head
 
@@ -32,13 +33,17 @@
 # Size of a body that no daemon accepts.
 TOO_LARGE_BYTES = 5_000_000
 # Requests that are sent at once on one connection.
-PIPELINED = 3
+PIPELINED, PIPELINED_READS = 3, 8
 # Longest times in seconds after which a caller leaves, waits to be asked for a body, or stops; the
 # time after which one reads slowly, and over which one sends slowly in some parts.
 LEAVE_AFTER_S = 0.1
 EXPECT_WAIT_S = 0.2
 SLOW_READ_S = 0.3
 SLOW_SEND_S, SLOW_SEND_PARTS = 0.3, 10
+# Bytes of an answer after which a caller stops reading it, and for how long in seconds.
+READ_BYTES, STOP_READING_S = 20_000, 2.5
+# Fraction of the reads that are on the route without keys.
+PUBLIC_RATIO = 0.2
 # Number of objects that requests are for, each with its own affinity key.
 OBJECT_COUNT = 23
 
@@ -59,19 +64,23 @@
             self._probe_daemons(),
         ]
 
-    def _draw_request(self, daemon: str) -> tuple[SentRequest, bytes]:
-        """Returns a random request to a daemon, and its bytes."""
+    def _draw_request(self, daemon: str, reads: bool) -> tuple[SentRequest, bytes]:
+        """Returns a random request to a daemon, a repeatable one for `reads`, and its bytes."""
         deployment, random_source = self._deployment, self._deployment.random
         identifier = f"r{next(self._request_numbers):06}"
         body = b""
         method, path, services = "GET", "/read/1", {DESK}
-        if random_source.random() < 0.5:
+        if random_source.random() < 0.5 and not reads:
             body = b"order"
             method, path, services = "POST", "/order/1", {DESK, FILES}
             if random_source.random() < 0.4:
                 path, services = "/files/1", {FILES}
                 is_large = random_source.random() < LARGE_UPLOAD_RATIO
                 body = b"p" * LARGE_UPLOAD_BYTES if is_large else b"photo"
+        elif deployment.board.happens("caller.downloads"):
+            path = f"{DOWNLOAD_PATH}1"
+        elif deployment.workspaces is not None and random_source.random() < PUBLIC_RATIO:
+            path = f"{PUBLIC_PATH}1"
         if method == "POST" and deployment.board.happens("caller.bodies"):
             body = random_source.randbytes(random_source.choice(BODY_SIZES))
         if method == "POST" and deployment.board.happens("caller.too-large"):
@@ -88,7 +97,8 @@
     def _build_request(
         self, daemon: str, identifier: str, method: str, path: str, body: bytes, services: set[str]
     ) -> tuple[SentRequest, bytes]:
-        """Returns a request with a random affinity key, and its bytes."""
+        """Returns a request with a random affinity key and a workspace's key, and its bytes."""
+        credentials = self._draw_credentials()
         request_bytes = request(
             path,
             method,
@@ -97,13 +107,37 @@
             Affinity_Key=str(self._deployment.random.randrange(OBJECT_COUNT)),
             Deadline_Ms=str(int(ANSWER_TIMEOUT_S * 1000)),
         )
+        lines = [f"Authorization: {value}\r\n" for value in credentials]
+        workspaces = self._deployment.workspaces
+        if workspaces is not None and self._deployment.board.happens("caller.forged-names"):
+            lines.append(f"Tenant: {self._deployment.random.choice(sorted(workspaces.keys))}\r\n")
+        start, end, rest = request_bytes.partition(b"\r\n")
+        request_bytes = start + end + "".join(lines).encode() + rest
         protected = method != "GET"
         now_s = self._deployment.now_s()
         sent_request = SentRequest(
-            identifier, daemon, method, path, body, protected, frozenset(services), now_s
+            identifier,
+            daemon,
+            method,
+            path,
+            body,
+            protected,
+            frozenset(services),
+            now_s,
+            credentials,
+            path.startswith(PUBLIC_PATH),
         )
         return sent_request, request_bytes
 
+    def _draw_credentials(self) -> tuple[str, ...]:
+        """Returns the credentials of a request: none unless the deployment has workspaces."""
+        workspaces = self._deployment.workspaces
+        if workspaces is None:
+            return ()
+        if self._deployment.board.happens("caller.odd-keys"):
+            return workspaces.draw_odd_credentials()
+        return workspaces.draw_credentials()
+
     async def _send_on_persistent_connections(self) -> None:
         """Sends requests on one connection at a time, each until the daemon closes it."""
         random_source = self._deployment.random
@@ -149,7 +183,9 @@
         """Sends some requests and records their results; returns whether the connection is kept."""
         deployment, board = self._deployment, self._deployment.board
         count = PIPELINED if board.happens("caller.pipeline") else 1
-        drawn = [self._draw_request(daemon.name) for _ in range(count)]
+        reads = board.happens("caller.pipeline-reads")
+        count = PIPELINED_READS if reads else count
+        drawn = [self._draw_request(daemon.name, reads) for _ in range(count)]
         for sent_request, _ in drawn:
             deployment.ledger.record_request(sent_request)
         content = b"".join(part for _, part in drawn)
@@ -160,8 +196,14 @@
                 return False
             if board.happens("caller.slow-read"):
                 await asyncio.sleep(SLOW_READ_S)
-            for number, (sent_request, _) in enumerate(drawn):
-                if not await self._read_and_record(reader, sent_request, number == 0):
+            if board.happens("caller.stop-reading"):
+                await reader.read(READ_BYTES)
+                await asyncio.sleep(STOP_READING_S)
+                return False
+            for number, (sent_request, _) in enumerate(drawn, 1):
+                if not await self._read_and_record(reader, sent_request, number == 1):
+                    rest = [request.identifier for request, _ in drawn[number:]]
+                    deployment.ledger.record_unread(rest, sent_request.identifier)
                     return False
             return await sending
         finally:
--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -26,6 +26,9 @@
     "budgetSlack": 20.0,
     "coldOver": 1.5,
     "coldSlack": 5.0,
+    "quotaWindowS": 5.0,
+    "quotaOver": 0.1,
+    "quotaSlack": 20.0,
 }
 
 # Fields that a later version of the platform may add.
--- a/soak/endpoints.py
+++ b/soak/endpoints.py
@@ -13,7 +13,7 @@
 from standins.servers import ReceivedRequest, build_answer
 from standins.switches import SwitchBoard
 
-__all__ = ["DEADLY_PATH", "Endpoint", "EndpointScript"]
+__all__ = ["DEADLY_PATH", "DOWNLOAD_PATH", "Endpoint", "EndpointScript"]
 
 # Part of the path of requests that crash endpoints.
 DEADLY_PATH = "/deadly-"
@@ -23,6 +23,9 @@
 PROCESSING_SPREAD_S = 0.02
 SLOWDOWN = 10
 SILENT_S = 60.0
+# Part of the path of requests whose answers are large.
+DOWNLOAD_PATH = "/media/"
+USUAL_SPEED = 100
 # How often the body of an answer repeats the id of its request, and that of a large one.
 REPEATS, LARGE_REPEATS = 200, 250_000
 
@@ -37,6 +40,8 @@
 
     name: str
     service: str
+    zone: str
+    region: str
     stand_in: HostileEndpoint
     proxy: Proxy
     failure_mode: str = "well"
@@ -76,6 +81,7 @@
             return build_answer(received, status, Not_Executed="1", Server_Load="1,0,4")
         content = (received.method, received.target, received.body) if received.body_read else None
         self._ledger.record_run(identifier, endpoint.name, endpoint.service, content, now_s)
+        self._ledger.record_identity(identifier, endpoint.region, received.headers, now_s)
         if DEADLY_PATH in received.target:
             self._ledger.record_crash(identifier, now_s)
             self._on_crash(endpoint)
@@ -86,15 +92,21 @@
         """Runs a request and returns its answer, or what a faulty endpoint sends."""
         if endpoint.failure_mode == "silent":
             await asyncio.sleep(SILENT_S)
-        slowdown = SLOWDOWN if endpoint.failure_mode == "slow" else 1
+        slowdown = SLOWDOWN if endpoint.failure_mode == "slow" else 1.0
         processing_s = PROCESSING_S + self._random.random() * PROCESSING_SPREAD_S
+        load = "1,0,4"
+        if slowest := self._board.dose("endpoint.slow-machine"):
+            slowdown *= self._random.uniform(1.0, slowest)
+            load += f",{slowdown * USUAL_SPEED:.0f}"
         await asyncio.sleep(slowdown * processing_s)
-        repeats = LARGE_REPEATS if self._board.happens("endpoint.large-answers") else REPEATS
+        is_large = received.target.startswith(DOWNLOAD_PATH)
+        is_large = is_large or self._board.happens("endpoint.large-answers")
+        repeats = LARGE_REPEATS if is_large else REPEATS
         answer = build_answer(
             received,
             500 if self._board.happens("endpoint.fail") else 200,
             identifier.encode() * repeats,
-            Server_Load="1,0,4",
+            Server_Load=load,
             Body_Repeats=str(repeats),
         )
         match endpoint.failure_mode:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 from soak.endpoints import DEADLY_PATH
 from soak.ledger import SentRequest
 from soak.proxy import ProxyMode
-from soak.world import DESK, FILES, LARGE_ROUTE_COUNT, ZONES, Deployment
+from soak.world import DESK, FILES, LARGE_ROUTE_COUNT, PUBLIC_PATH, ZONES, Deployment
 from standins.messages import request
 
 __all__ = ["FAULTS", "Fault"]
@@ -219,7 +219,7 @@
     for attempt in range(DEADLY_REQUESTS):
         daemon = _pick_daemon(deployment)
         identifier = f"d{number}-{attempt}"
-        path = f"/read{DEADLY_PATH}{number}"
+        path = f"{PUBLIC_PATH.rstrip('/')}{DEADLY_PATH}{number}"
         deployment.ledger.record_request(
             SentRequest(
                 identifier,
@@ -230,6 +230,7 @@
                 False,
                 frozenset({DESK}),
                 deployment.now_s(),
+                is_public=True,
             ),
             is_probe=True,
         )
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left
 from collections import Counter, defaultdict
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from soak.daemons import BOUNDS
+from soak.workspaces import KeyHistory
 
 __all__ = ["SentRequest", "RequestLedger", "Violation"]
 
@@ -42,7 +44,10 @@
 
 @dataclass(frozen=True)
 class SentRequest:
-    """A request as its caller sent it; `services` are those that may run it."""
+    """A request as its caller sent it; `services` are those that may run it.
+
+    `credentials` are its `Authorization` headers; a public route needs none.
+    """
 
     identifier: str
     daemon: str
@@ -52,6 +57,8 @@
     protected: bool
     services: frozenset[str]
     sent_at_s: float
+    credentials: tuple[str, ...] = ()
+    is_public: bool = False
 
 
 @dataclass
@@ -63,6 +70,7 @@
     runs: list[str] = field(default_factory=list)
     endpoint_answered: bool = False
     status: int | None = None
+    is_unread: bool = False
 
 
 class RequestLedger:
@@ -80,6 +88,8 @@
         self._configuration_times_s: dict[int, float] = {}
         self._crash_times_s: defaultdict[str, list[float]] = defaultdict(list)
         self._late_crashes: Counter[str] = Counter()
+        self._run_times_s: defaultdict[str, list[float]] = defaultdict(list)
+        self.key_history = KeyHistory()
         self.violations: list[Violation] = []
         self.request_count = 0
         self.outcomes: Counter[str] = Counter()
@@ -135,6 +145,8 @@
             self._report_violation("route", f"{identifier} ran at {service} ({endpoint})")
         if sent_request.protected and len(history.runs) > 1:
             self._report_violation("at most once", f"{identifier} ran at {history.runs}")
+        if sent_request.protected and history.is_unread:
+            self._report_violation("unread", f"{identifier} ran though it counts as not read")
         if len(history.runs) > MAX_ATTEMPTS:
             self._report_violation("attempts", f"{identifier} ran at {history.runs}")
         if sent_request.protected and history.status in NOT_RUN_STATUSES:
@@ -149,6 +161,71 @@
                 "drain", f"{identifier} ran at {endpoint} {now_s - leaving_s:.2f} s after it left"
             )
 
+    def record_identity(
+        self, identifier: str, region: str, headers: Mapping[str, str], now_s: float
+    ) -> None:
+        """Records as whose an endpoint in a region runs a request, by the headers it got."""
+        history = self._histories.get(identifier)
+        if history is None or self.key_history.is_empty:
+            return
+        sent_request = history.sent_request
+        name = headers.get("tenant", "")
+        schemes = [part.split()[:1] for part in headers.get("authorization", "").split(",")]
+        if ["bearer"] in [[word.lower() for word in scheme] for scheme in schemes]:
+            self._report_violation("key passed on", f"{identifier} reached an endpoint with a key")
+        holders = self.key_history.find_holders(sent_request.credentials)
+        names = frozenset[str]().union(*holders)
+        if sent_request.is_public and (not name or name in names):
+            return
+        if not names:
+            self._report_violation("key", f"{identifier} ran without the key of a workspace")
+        elif name not in names:
+            self._report_violation("name", f"{identifier} of {sorted(names)} ran as {name!r}")
+        homes = self.key_history.find_homes(name)
+        if homes is not None and name in names and region not in homes:
+            self._report_violation("home", f"{identifier} of {name} ran in {region}")
+        self._run_times_s[name].append(now_s)
+        since_s = sent_request.sent_at_s - CONFIGURATION_LIMIT_S
+        recent = self.key_history.find_holders(sent_request.credentials, since_s)
+        if not any(name in held for held in recent) and self._is_operating_normally(
+            sent_request.daemon, since_s, now_s
+        ):
+            self._report_time_limit_violation(
+                "withdrawn key", f"{identifier} ran as {name} at {sent_request.daemon}"
+            )
+
+    def _check_key_refusal(self, sent_request: SentRequest, now_s: float) -> None:
+        """Reports a refusal of a key that all versions that may be in force know."""
+        history = self.key_history
+        ever = history.find_holders(sent_request.credentials)
+        if sent_request.is_public or (ever and all(len(held) == 1 for held in ever)):
+            self._report_violation(
+                "known key", f"{sent_request.identifier} got 401 at {sent_request.daemon}"
+            )
+            return
+        since_s = sent_request.sent_at_s - CONFIGURATION_LIMIT_S
+        recent = history.find_holders(sent_request.credentials, since_s)
+        if all(len(held) == 1 for held in recent) and self._is_operating_normally(
+            sent_request.daemon, since_s, now_s
+        ):
+            self._report_time_limit_violation(
+                "new key", f"{sent_request.identifier} got 401 at {sent_request.daemon}"
+            )
+
+    def record_unread(self, identifiers: Iterable[str], after: str) -> None:
+        """Records requests that count as not read, if the one before them was answered.
+
+        Its answer was the last one on their connection; their caller sends them elsewhere.
+        """
+        if self._histories[after].status is None:
+            return
+        for history in (self._histories[identifier] for identifier in identifiers):
+            history.is_unread = True
+            if history.sent_request.protected and history.runs:
+                self._report_violation(
+                    "unread", f"{history.sent_request.identifier} ran behind the end of {after}"
+                )
+
     def record_crash(self, identifier: str, now_s: float) -> None:
         """Records that a request has crashed the endpoint that began to run it."""
         sent_request = self._histories[identifier].sent_request
@@ -191,6 +268,8 @@
                 self._report_violation("own whole answer", f"{identifier} {detail}".strip())
             if not history.runs:
                 self._report_violation("success without a run", identifier)
+        if status == 401:
+            self._check_key_refusal(sent_request, now_s)
         if status == 404:
             self._report_violation(
                 "known route", f"{identifier} got status 404 for {sent_request.path}"
@@ -291,6 +370,19 @@
                     )
                     break
 
+    def check_quotas(self) -> None:
+        """Checks the quota of each workspace that had the same one in all versions."""
+        window_s = BOUNDS["quotaWindowS"]
+        for name, quota in self.key_history.find_quotas():
+            allowed = quota.rate_per_s * window_s + quota.burst
+            allowed = allowed * (1 + BOUNDS["quotaOver"]) + BOUNDS["quotaSlack"]
+            times_s = sorted(self._run_times_s[name])
+            for index, start_s in enumerate(times_s):
+                runs = bisect_left(times_s, start_s + window_s) - index
+                if runs > allowed:
+                    self._report_violation("quota", f"{name}: {runs} runs, {allowed:.0f} allowed")
+                    break
+
     def check_recovery(self, served_ratio: float, min_ratio: float) -> None:
         """Checks the ratio of requests that were served after the last fault."""
         if served_ratio == 0:
--- a/soak/switching.py
+++ b/soak/switching.py
@@ -54,7 +54,8 @@
     """Returns the switches of a run with a seed that lasts for some seconds."""
     source = random.Random(f"switches {seed}")
     drawn = []
-    for name in source.sample(sorted(SWITCHES), source.randint(MIN_DRAWN, MAX_DRAWN)):
+    names = sorted(name for name, switch in SWITCHES.items() if switch.drawn)
+    for name in source.sample(names, source.randint(MIN_DRAWN, MAX_DRAWN)):
         switch = SWITCHES[name]
         start_s = round(source.uniform(0, seconds * (1 - MIN_FRACTION)), 1)
         end_s = round(source.uniform(start_s + seconds * MIN_FRACTION, seconds), 1)
@@ -127,11 +128,19 @@
     deployment.store_proxy.silence_open()
 
 
+def _change_keys(deployment: Deployment) -> None:
+    """Writes a configuration in which some keys of workspaces are held by others, or by none."""
+    if deployment.workspaces is not None:
+        deployment.workspaces.change_keys()
+        deployment.write_configuration()
+
+
 _ACTIONS: dict[str, Callable[[Deployment], None]] = {
     "writer.odd-entries": _write_odd_entry,
     "endpoint.same-id": _restart_under_same_id,
     "endpoint.cold-again": _turn_cold,
     "endpoint.silent-connections": _silence_connections,
+    "platform.change-keys": _change_keys,
 }
 
 
--- a/standins/servers.py
+++ b/standins/servers.py
@@ -145,6 +145,7 @@
         answer = asyncio.ensure_future(self.script(received))
         closed = asyncio.ensure_future(reader.read(1))
         await asyncio.wait({answer, closed}, return_when=asyncio.FIRST_COMPLETED)
+        closed.add_done_callback(lambda task: task.cancelled() or task.exception())
         if not answer.done():
             answer.cancel()
             self.aborted_requests += 1
--- a/standins/switches.py
+++ b/standins/switches.py
@@ -29,6 +29,8 @@
 
     `doses` are the values that a soak draws from; `unit` says what they are. A switch that
     `disturbs` excuses what takes longer meanwhile. One that is `from_start` can't change later.
+    `needs` is a switch that is on from the start wherever this one is. A switch that is not `drawn`
+    plays what the code doesn't serve yet, and is turned on by name only.
     """
 
     name: str
@@ -36,6 +38,8 @@
     unit: str
     disturbs: bool = False
     from_start: bool = False
+    needs: str = ""
+    drawn: bool = True
 
     @property
     def party(self) -> Party:
@@ -47,7 +51,9 @@
 SECONDS = "seconds"
 COUNT = "count"
 PER_SECOND = "a second"
+TIMES = "times as long"
 
+_WORKSPACES = "platform.workspaces"
 _ALL = (
     Switch("store.cut-watches", (0.05, 0.5, 2.0), SECONDS),
     Switch("store.high-numbers", (2.0**31 - 50, 2.0**40, 2.0**53 - 10**6), COUNT, from_start=True),
@@ -79,6 +85,9 @@
     Switch("endpoint.chunks", (0.3, 1.0), FRACTION),
     Switch("endpoint.odd-headers", (0.1, 0.5), FRACTION),
     Switch("endpoint.large-answers", (0.05, 0.2), FRACTION),
+    Switch("endpoint.cut-unread", (0.3, 1.0), SECONDS),
+    Switch("endpoint.load-reports", (0.2, 1.0), FRACTION),
+    Switch("endpoint.slow-machine", (2.0, 6.0), TIMES, disturbs=True),
     Switch("endpoint.same-id", (1.0, 3.0), SECONDS),
     Switch("endpoint.cold-again", (0.5, 2.0), SECONDS),
     Switch("endpoint.silent-connections", (1.0, 3.0), SECONDS, disturbs=True),
@@ -91,8 +100,17 @@
     Switch("caller.slow-read", (0.05, 0.2), FRACTION),
     Switch("caller.slow-send", (0.05, 0.2), FRACTION),
     Switch("caller.too-large", (0.05, 0.2), FRACTION),
+    Switch("caller.pipeline-reads", (0.1, 0.5), FRACTION),
+    Switch("caller.downloads", (0.1, 0.3), FRACTION),
+    Switch("caller.stop-reading", (0.05, 0.2), FRACTION, needs="caller.downloads"),
+    Switch("caller.odd-keys", (0.1, 0.5), FRACTION, needs=_WORKSPACES),
+    Switch("caller.forged-names", (0.1, 0.5), FRACTION, needs=_WORKSPACES),
     Switch("platform.new-settings", (1.0,), FRACTION, from_start=True),
     Switch("platform.dead-seeds", (1.0,), FRACTION, from_start=True),
+    Switch(_WORKSPACES, (3, 40), COUNT, from_start=True),
+    Switch("platform.change-keys", (0.5, 2.0), SECONDS, needs=_WORKSPACES),
+    Switch("platform.homes", (0.3, 1.0), FRACTION, from_start=True, needs=_WORKSPACES),
+    Switch("platform.quotas", (5.0, 20.0), PER_SECOND, True, True, _WORKSPACES, drawn=False),
 )
 # All switches by their names.
 SWITCHES: Mapping[str, Switch] = {switch.name: switch for switch in _ALL}
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -132,6 +132,79 @@
         self.ledger.record_answer("p", 404, True, 100.0)
         self.assertEqual(self._violated_guarantees(), ["unasked", "known route"])
 
+    def _run_as(
+        self, credentials: tuple[str, ...], name: str, region: str = "r0", at_s: float = 100.0
+    ) -> list[str]:
+        """Returns what is reported if an endpoint runs a request with credentials under a name."""
+        before = len(self.ledger.violations)
+        sent = SentRequest("k", "d", *SENT, False, frozenset({"desk"}), at_s, credentials)
+        self.ledger.record_request(sent)
+        self.ledger.record_identity("k", region, {"tenant": name} if name else {}, at_s)
+        return self._violated_guarantees()[before:]
+
+    def _record_keys(self, at_s: float, **keys: list[str]) -> None:
+        """Records a version of the configuration with keys by workspace."""
+        table = {n: {"apiKeys": held, "ratePerS": 2, "burst": 1} for n, held in keys.items()}
+        table["a"]["homeRegions"] = ["r0"]
+        self.ledger.key_history.record_version(table, at_s)
+
+    def test_run_without_a_key_under_another_name_or_elsewhere_is_reported(self) -> None:
+        self._record_keys(90.0, a=["key-1"], b=["key-2"])
+        self.assertEqual(self._run_as(("bearer key-1",), "a"), [])
+        self.assertEqual(self._run_as(("Bearer key-1",), "a", "r1"), ["home"])
+        self.assertEqual(self._run_as(("Bearer key-2",), "b", "r1"), [])
+        self.assertIn("name", self._run_as(("Bearer key-2",), "a"))
+        self.assertIn("name", self._run_as(("Bearer key-2",), "b, a"))
+        for odd in ((), ("Bearer key-9",), ("Bearer key-1",) * 2, ("key-1",), ("Bearer",)):
+            self.assertIn("key", self._run_as(odd, "a"), odd)
+        self.ledger.record_identity("k", "r0", {"authorization": "x y, Bearer key-1"}, 100.0)
+        self.assertIn("key passed on", self._violated_guarantees())
+
+    def test_key_counts_as_long_as_its_withdrawal_may_be_unknown(self) -> None:
+        self._record_keys(90.0, a=["key-1"], b=[""])
+        self._record_keys(99.0, a=[], b=["key-1", ""])
+        self.assertEqual(self._run_as(("Bearer key-1",), "a", at_s=101.0), [])
+        self.assertEqual(self._run_as(("Bearer key-1",), "b", at_s=101.0), [])
+        self.assertEqual(self._run_as(("Bearer key-1",), "a", at_s=102.0), ["withdrawn key"])
+        self.assertIn("key", self._run_as(("Bearer ",), "b", at_s=102.0))
+
+    def test_refusal_of_a_key_that_is_known_is_reported(self) -> None:
+        self._record_keys(90.0, a=["key-1", "key-3"], b=["key-2"])
+        self._record_keys(99.0, a=["key-1"], b=["key-2", "key-4"])
+        for key, expected in (
+            ("key-1", "known key"),
+            ("key-3", ""),
+            ("key-4", "new key"),
+            ("key-9", ""),
+        ):
+            self._run_as((f"Bearer {key}",), "a", at_s=103.0)
+            reported = len(self.ledger.violations)
+            self.ledger.record_answer("k", 401, False, 103.0)
+            refused = self._violated_guarantees()[reported:]
+            self.assertEqual(refused, [expected] if expected else [], key)
+
+    def test_runs_above_a_quota_are_reported(self) -> None:
+        self._record_keys(90.0, a=["key-1"], b=["key-2"])
+        allowed = int((2 * 5 + 1) * 1.1 + 20)
+        for number in range(allowed):
+            self._run_as(("Bearer key-2",), "b", at_s=100.0 + number / 10)
+        self.ledger.check_quotas()
+        self.assertEqual(self._violated_guarantees(), [])
+        self._run_as(("Bearer key-2",), "b", at_s=100.0)
+        self.ledger.check_quotas()
+        self.assertEqual(self._violated_guarantees(), ["quota"])
+
+    def test_protected_request_behind_the_end_of_a_connection_must_not_run(self) -> None:
+        self.ledger.record_unread(["p"], "i")
+        self._record_run("p")
+        self.assertEqual(self._violated_guarantees(), [])
+        self._record_request("q", protected=True)
+        self.ledger.record_answer("i", 500, True, 100.0)
+        self.ledger.record_unread(["p", "q"], "i")
+        self.assertEqual(self._violated_guarantees(), ["unread"])
+        self._record_run("q")
+        self.assertEqual(self._violated_guarantees(), ["unread", "unread"])
+
     def test_time_limits_are_not_checked_when_disabled(self) -> None:
         ledger = RequestLedger(check_time_limits=False)
         ledger.check_recovery(0.1, 0.9)
