`lycheepin explain` says where a request would go now, and why, without sending it

Cause: what decided about a request could be read from the log afterwards only, for requests that were sent. Change: Dispatcher.explain decides on a copy of all that is counted, with the code that decides; it counts nothing. NO_REGION_RETRY_AFTER_S stands beside the other bounds of Retry-After. Tests: tests.steering.test_explaining (a daemon that is asked 1,800 times decides as its twin that is never asked; both tests of that fail if explain counts), tests.cli.test_explain (file, bad input, a running gateway); 269 tests of steering, cli, platform, experiments and three of the gateway's passed.

--- a/lycheepin/cli/arguments.py
+++ b/lycheepin/cli/arguments.py
@@ -125,16 +125,51 @@
     commands.add_parser(
         "status", help="print the state of a daemon", parents=[_build_common_options()]
     )
-    for name, help_text in (
-        ("lookup", "print the entry VMs that a caller should use"),
-        ("explain", "print why a caller is directed to its entry VMs"),
-    ):
-        command = commands.add_parser(name, help=help_text, parents=[_build_common_options()])
-        command.add_argument("service", help="service as fleet/service")
-        command.add_argument("caller", help="IP address of the caller")
+    lookup = commands.add_parser(
+        "lookup",
+        help="print the entry VMs that a caller should use",
+        parents=[_build_common_options()],
+    )
+    lookup.add_argument("service", help="service as fleet/service")
+    lookup.add_argument("caller", help="IP address of the caller")
+    _add_explain_command(commands)
     timeline = commands.add_parser(
         "timeline",
         help="print the events of all daemons in causal order",
         parents=[_build_common_options()],
     )
     timeline.add_argument("--html", metavar="FILE", help="write an HTML page instead")
+
+
+def _add_explain_command(commands: argparse._SubParsersAction[argparse.ArgumentParser]) -> None:
+    """Adds `explain`, which asks a daemon about a caller, or a gateway about a request."""
+    command = commands.add_parser(
+        "explain",
+        help="print why a caller is directed to its entry VMs, or where a request would go",
+        parents=[_build_common_options()],
+    )
+    command.add_argument("service", nargs="?", help="service as fleet/service")
+    command.add_argument("caller", nargs="?", help="IP address of the caller")
+    source = command.add_mutually_exclusive_group()
+    source.add_argument("--gateway", metavar="HOST:PORT", help="control address of a gateway")
+    source.add_argument("--state", metavar="FILE", help="state that --save wrote; - for input")
+    command.add_argument("--save", metavar="FILE", help="write the state that was decided on")
+    command.add_argument("--host", default="", help="host of the request")
+    command.add_argument("--path", default="/", help="path of the request")
+    command.add_argument("--object", default="", metavar="KEY", help="object of the request")
+    caller = command.add_mutually_exclusive_group()
+    caller.add_argument("--workspace", metavar="NAME", help="workspace of the caller")
+    caller.add_argument(
+        "--workspace-key-file", metavar="FILE", help="file with the caller's key; - for input"
+    )
+    command.add_argument(
+        "--time-left", type=_parse_milliseconds, metavar="MS", help="how long the caller waits"
+    )
+
+
+def _parse_milliseconds(text: str) -> int:
+    """Returns a positive number of milliseconds; raises ValueError for other text."""
+    milliseconds = int(text)
+    if milliseconds <= 0:
+        raise ValueError(text)
+    return milliseconds
--- a/lycheepin/cli/client.py
+++ b/lycheepin/cli/client.py
@@ -30,11 +30,15 @@
 
 
 class DaemonClient:
-    """A client for the daemon at an address of the form `host:port`."""
+    """A client for the daemon at an address of the form `host:port`.
 
-    def __init__(self, address: str, operator_key: str = "") -> None:
+    A `workspace_key` is sent as the key of a caller about whom something is asked.
+    """
+
+    def __init__(self, address: str, operator_key: str = "", workspace_key: str = "") -> None:
         self._base_url = f"http://{address}"
         self._operator_key = operator_key
+        self._workspace_key = workspace_key
 
     def get(self, path: str, **query: str | int) -> Any:
         """Returns the decoded JSON answer to a GET request, or a ClientError."""
@@ -50,6 +54,8 @@
         headers = (
             [(b"lycheepin-operator-key", self._operator_key.encode())] if self._operator_key else []
         )
+        if self._workspace_key:
+            headers.append((b"Authorization", b"Bearer " + self._workspace_key.encode()))
         try:
             async with (
                 asyncio.timeout(CALL_TIMEOUT_S),
--- a/lycheepin/cli/commands.py
+++ b/lycheepin/cli/commands.py
@@ -17,6 +17,7 @@
 from lycheepin.cli.arguments import build_parser
 from lycheepin.cli.changes import TARGETS, set_targets, start_drain, stop_drain
 from lycheepin.cli.client import ClientError, DaemonClient
+from lycheepin.cli.explaining import explain, format_explanation
 from lycheepin.cli.timeline import collect_events, render_html, render_text
 from lycheepin.cli.trace import trace_request
 from lycheepin.configuration import check_settings
@@ -64,6 +65,8 @@
             )
         case "status":
             return _print_answer(options, _build_client(options).get("status"), _format_status)
+        case "explain" if options.gateway is not None or options.state is not None:
+            return _run_explain(options)
         case "lookup" | "explain":
             return _run_query(options)
     return EXIT_USAGE
@@ -305,8 +308,24 @@
 # Queries
 
 
+def _run_explain(options: argparse.Namespace) -> int:
+    """Runs `explain` for a request to a gateway."""
+    if options.service is not None or not options.host:
+        print("lycheepin: explain --gateway or --state takes --host and --path", file=sys.stderr)
+        return EXIT_USAGE
+    match explain(options):
+        case Success(answer):
+            return _print_answer(options, answer, format_explanation)
+        case Failure(error):
+            return _print_answer(options, error)
+    raise AssertionError
+
+
 def _run_query(options: argparse.Namespace) -> int:
-    """Runs `lookup` and `explain`."""
+    """Runs `lookup`, and `explain` for a caller of a daemon."""
+    if options.service is None or options.caller is None:
+        print("lycheepin: a service and a caller are required", file=sys.stderr)
+        return EXIT_USAGE
     try:
         name = QualifiedName.parse(options.service)
     except ValueError as error:
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -15,6 +15,7 @@
 from lycheepin.gateway.deployment_state import DeploymentState
 from lycheepin.gateway.dialect import HeaderNames
 from lycheepin.gateway.directory import DaemonRecord, Directory
+from lycheepin.gateway.explaining import STATE_PATH, answer_state_call
 from lycheepin.gateway.mirror import StoreReplica
 from lycheepin.gateway.relay import RELAY_PATH, Relay
 from lycheepin.gateway.request_handler import RequestHandler
@@ -257,10 +258,19 @@
             await self._management_listener.listen(address.host, address.port)
 
     async def _answer_call(self, request: IncomingRequest) -> None:
-        """Answers a call of another daemon, or passes it to the platform."""
+        """Answers a call of another daemon or for the state, or passes it to the platform."""
         await request.read_up_to(MAX_CALL_BODY_BYTES)
         if request.path == RELAY_PATH:
             await self._relay.answer_follower(request, self.settings.store)
+        elif request.path == STATE_PATH:
+            answer_state_call(
+                request,
+                self.settings.name,
+                self.state.table,
+                self.registry,
+                self._dispatcher,
+                self.replica,
+            )
         else:
             self._platform.answer_call(self, request)
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -18,7 +18,11 @@
 from lycheepin.quarantine.fingerprints import fingerprint_request
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
 from lycheepin.steering.choices import Refusal
-from lycheepin.steering.dispatch import MIN_RETRY_AFTER_S, Dispatcher
+from lycheepin.steering.dispatch import (
+    MIN_RETRY_AFTER_S,
+    NO_REGION_RETRY_AFTER_S,
+    Dispatcher,
+)
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
@@ -44,8 +48,6 @@
 
 # Retry-After, in seconds, of a daemon that has no configuration yet.
 STARTING_RETRY_AFTER_S = 0.5
-# Retry-After, in seconds, of requests that no region may serve until the configuration changes.
-NO_REGION_RETRY_AFTER_S = 5.0
 MS_PER_S = 1000
 # Statuses with which a daemon promises that a request has not run and will not.
 PROMISES = frozenset((408, 421, 429, 503))
--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -10,9 +10,10 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
+from types import MappingProxyType
 
 from lycheepin.names import DaemonName, EndpointId, RegionName
 
@@ -85,6 +86,28 @@
         self._regions: dict[DaemonName, RegionName | None] = {own: None}
         self._shares: dict[tuple[EndpointId, int, RegionName | None], Share] = {}
 
+    @classmethod
+    def from_regions(
+        cls, own: DaemonName, regions: Mapping[DaemonName, RegionName | None]
+    ) -> Carriers:
+        """Returns carriers that stay the same, with their regions."""
+        names = tuple(regions)
+        return cls(own, lambda: names, regions.get)
+
+    @property
+    def own(self) -> DaemonName:
+        """The name of this daemon."""
+        return self._own
+
+    def find_regions(self, now_s: float) -> dict[DaemonName, RegionName | None]:
+        """Returns the carriers that have a share now, with their regions; changes nothing."""
+        copy = Carriers(self._own, self._find_names, self._find_region)
+        copy._listed = self._listed
+        copy._departed_until_s = dict(self._departed_until_s)
+        copy._regions = dict(self._regions)
+        copy._update(now_s)
+        return copy._regions
+
     def slack_fraction(self, now_s: float) -> float:
         """Returns this daemon's share of a limit that is divided equally; 0 if it has none."""
         self._update(now_s)
@@ -206,10 +229,20 @@
 class ColdStartLimiter:
     """This daemon's share of the requests that a cold endpoint may get per second."""
 
-    def __init__(self, limits: BudgetLimits, carriers: Carriers) -> None:
+    def __init__(
+        self,
+        limits: BudgetLimits,
+        carriers: Carriers,
+        starts_s: Mapping[EndpointId, Iterable[float]] = MappingProxyType({}),
+    ) -> None:
         self.limits = limits
         self._carriers = carriers
-        self._starts: dict[EndpointId, deque[float]] = {}
+        self._starts = {name: deque(times_s) for name, times_s in starts_s.items()}
+
+    @property
+    def starts_s(self) -> dict[EndpointId, tuple[float, ...]]:
+        """The times of the counted requests by endpoint, in seconds."""
+        return {name: tuple(times_s) for name, times_s in self._starts.items()}
 
     def try_start(self, endpoint_id: EndpointId, cold_per_s: float, now_s: float) -> bool:
         """Counts a request to a cold endpoint if the share covers it; returns whether it does.
--- a/lycheepin/steering/choices.py
+++ b/lycheepin/steering/choices.py
@@ -5,12 +5,13 @@
 from dataclasses import dataclass
 
 from lycheepin.errors import ErrorKind
-from lycheepin.names import EndpointId, RegionName, ServiceName
+from lycheepin.names import EndpointId, RegionName, ServiceName, ZoneName
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.workspaces import Workspace
 
 __all__ = [
     "AttemptRequirements",
+    "Candidate",
     "Choice",
     "Refusal",
     "SelectedEndpoint",
@@ -66,6 +67,24 @@
     is_own_region: bool = False
 
 
+@dataclass(frozen=True)
+class Candidate:
+    """An endpoint of a service as an explanation lists it.
+
+    `weight` is that in the order of preference, `slowness` the factor by which its machine is slow.
+    `obstacles` are the reasons for which it is passed over, and `limit_per_s` is the limit that it
+    has named, in requests per second.
+    """
+
+    weighed: WeighedEndpoint
+    zone: ZoneName
+    region: RegionName
+    weight: float
+    slowness: float
+    obstacles: tuple[str, ...]
+    limit_per_s: float | None
+
+
 @dataclass(frozen=True)
 class Refusal:
     """No endpoint can take the attempt; capacity is expected in `retry_after_s` seconds.
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -9,13 +9,16 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from types import MappingProxyType
 
 from lycheepin.errors import ErrorKind
-from lycheepin.names import EndpointId, ServiceName
+from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName
 from lycheepin.steering.budgets import BudgetLimits, Carriers, ColdStartLimiter
 from lycheepin.steering.choices import (
     AttemptRequirements,
+    Candidate,
     Choice,
     Refusal,
     SelectedEndpoint,
@@ -24,11 +27,11 @@
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
-from lycheepin.steering.rate_limits import RateLimits
-from lycheepin.steering.region_shares import RegionShares
+from lycheepin.steering.rate_limits import LimitRecord, RateLimits
+from lycheepin.steering.region_shares import RegionShares, SharesRecord
 from lycheepin.steering.routes import ServiceSpec
 
-__all__ = ["MIN_RETRY_AFTER_S", "Dispatcher"]
+__all__ = ["MIN_RETRY_AFTER_S", "NO_REGION_RETRY_AFTER_S", "Dispatcher", "DispatcherCounts"]
 
 # Number of preferred endpoints of an object. With one, an object depends on a single endpoint; with
 # three, each of them would see the object half as often and lose it from its cache sooner.
@@ -48,6 +51,8 @@
 # Bounds in seconds of the time after which a refused caller is asked to retry.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 1.3
+# Retry-After, in seconds, of requests that no region may serve until the configuration changes.
+NO_REGION_RETRY_AFTER_S = 5.0
 # Largest deviation from the computed retry time, as a fraction, that spreads caller retries.
 RETRY_JITTER = 0.3
 # Number of an object's endpoints that may be passed over because they take no more requests a
@@ -55,6 +60,18 @@
 MAX_LIMITED = 16
 
 
+@dataclass(frozen=True)
+class DispatcherCounts:
+    """What a dispatcher has counted; times are monotonic seconds, carriers have their regions."""
+
+    limits: BudgetLimits
+    carriers: dict[DaemonName, RegionName | None]
+    cold_starts_s: dict[EndpointId, tuple[float, ...]]
+    rate_limits: dict[EndpointId, LimitRecord]
+    max_shift: float | None
+    region_shares: dict[ServiceName, SharesRecord]
+
+
 class Dispatcher:
     """Selects endpoints for the attempts of this daemon."""
 
@@ -66,12 +83,90 @@
         carriers: Carriers,
         rate_limits: RateLimits,
         region_shares: RegionShares | None = None,
+        cold_starts_s: Mapping[EndpointId, Iterable[float]] = MappingProxyType({}),
     ) -> None:
         self._registry = registry
+        self._carriers = carriers
         self._region_shares = region_shares or RegionShares(placement.own_region, None)
         self._placement = placement
         self._rate_limits = rate_limits
-        self._cold_starts = ColdStartLimiter(limits, carriers)
+        self._cold_starts = ColdStartLimiter(limits, carriers, cold_starts_s)
+
+    @classmethod
+    def from_counts(
+        cls,
+        own: DaemonName,
+        registry: EndpointRegistry,
+        region: RegionName,
+        counts: DispatcherCounts,
+    ) -> Dispatcher:
+        """Returns a dispatcher that decides as the one that has counted, and counts for itself."""
+        carriers = Carriers.from_regions(own, counts.carriers)
+        return cls(
+            registry,
+            Placement(registry, region),
+            counts.limits,
+            carriers,
+            RateLimits(own, carriers, counts.rate_limits),
+            RegionShares(region, counts.max_shift, counts.region_shares),
+            counts.cold_starts_s,
+        )
+
+    @property
+    def own_region(self) -> RegionName:
+        """The region of this daemon."""
+        return self._placement.own_region
+
+    def copy_counts(self, now_s: float) -> DispatcherCounts:
+        """Returns what is counted, as values of their own."""
+        return DispatcherCounts(
+            self._cold_starts.limits,
+            self._carriers.find_regions(now_s),
+            self._cold_starts.starts_s,
+            self._rate_limits.records,
+            self._region_shares.max_shift,
+            self._region_shares.records,
+        )
+
+    def explain(
+        self, requirements: AttemptRequirements, spec: ServiceSpec, now_s: float
+    ) -> tuple[Choice, tuple[Candidate, ...]]:
+        """Returns what `choose_endpoint` would return now, and all endpoints of the service.
+
+        They are in the object's order of preference. Nothing is counted.
+        """
+        counts = self.copy_counts(now_s)
+        copy = self.from_counts(self._carriers.own, self._registry, self.own_region, counts)
+        ordered = copy._placement.order_endpoints(requirements.service, requirements.object_key)
+        candidates = tuple(copy._describe(each, requirements, now_s) for each in ordered)
+        return copy.choose_endpoint(requirements, spec, now_s), candidates
+
+    def _describe(
+        self, endpoint: Endpoint, requirements: AttemptRequirements, now_s: float
+    ) -> Candidate:
+        """Returns an endpoint with the reasons for which it is passed over."""
+        record = endpoint.record
+        allowed = requirements.allowed_regions
+        obstacles = {
+            "draining": record.draining,
+            "removed": endpoint.removed,
+            "zone evacuated": record.zone in self._registry.evacuated_zones,
+            "region not allowed": bool(allowed) and record.region not in allowed,
+            "tried": record.id in requirements.tried,
+            "excluded": now_s < endpoint.excluded_until_s,
+            "cold": endpoint.is_cold(now_s),
+            "missing from the store": endpoint.missing_since_s is not None,
+            "limit reached": self._rate_limits.wait_s(record, now_s) > 0,
+        }
+        return Candidate(
+            self._weigh(endpoint, now_s),
+            record.zone,
+            record.region,
+            self._placement.find_weight(record.slots, record.region),
+            endpoint.slowness(now_s),
+            tuple(name for name, applies in obstacles.items() if applies),
+            self._rate_limits.find_limit(record.id),
+        )
 
     def apply_budget_limits(self, limits: BudgetLimits) -> None:
         """Replaces the budget limits of the deployment."""
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from itertools import islice
 
@@ -107,6 +107,20 @@
         """Returns the moving average of a service's processing time in seconds."""
         return self._mean_processing_s.get(service, INITIAL_PROCESSING_S)
 
+    def mean_processing_times_s(self) -> dict[ServiceName, float]:
+        """Returns the moving averages of all services that have answered, in seconds."""
+        return dict(self._mean_processing_s)
+
+    def restore(
+        self, endpoints: Iterable[Endpoint], mean_processing_s: Mapping[ServiceName, float]
+    ) -> None:
+        """Adds endpoints as they were observed, and the processing times of services."""
+        for endpoint in endpoints:
+            self._endpoints[endpoint.record.id] = endpoint
+            self._add_to_orders(endpoint)
+            self.missing_count += endpoint.missing_since_s is not None
+        self._mean_processing_s.update(mean_processing_s)
+
     def observe_answer(
         self, endpoint: Endpoint, now_s: float, duration_s: float, slowness: float = 1.0
     ) -> None:
--- a/lycheepin/steering/placement.py
+++ b/lycheepin/steering/placement.py
@@ -141,7 +141,7 @@
             order.discard(change.endpoint)
             if change.present:
                 record = change.endpoint.record
-                weight = self._weight(record.slots, record.region)
+                weight = self.find_weight(record.slots, record.region)
                 digest = _digest(change.endpoint.id_hash, object_key.encode())
                 order.insert(_score_digest(digest, weight), change.endpoint)
 
@@ -157,14 +157,14 @@
         for (slots, region), endpoints in self._registry.groups(service):
             hashed = ((_digest(e.id_hash, key), index) for index, e in enumerate(endpoints))
             best = sorted(hashed, reverse=True) if limit is None else nlargest(limit, hashed)
-            weight = self._weight(slots, region)
+            weight = self.find_weight(slots, region)
             ranked.append([(_score_digest(d, weight), endpoints[index]) for d, index in best])
         merged = merge(*ranked, key=lambda entry: -entry[0])
         return (
             [entry for entry, _ in zip(merged, range(limit), strict=False)] if limit else [*merged]
         )
 
-    def _weight(self, slots: int, region: RegionName) -> float:
+    def find_weight(self, slots: int, region: RegionName) -> float:
         """Returns the weight of an endpoint by its slots and its region."""
         weight = float(max(1, slots))
         return weight * OWN_REGION_WEIGHT if region == self.own_region else weight
--- a/lycheepin/steering/rate_limits.py
+++ b/lycheepin/steering/rate_limits.py
@@ -8,15 +8,17 @@
 from __future__ import annotations
 
 from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
 from math import floor
+from types import MappingProxyType
 
 from lycheepin.names import DaemonName, EndpointId
 from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.endpoint import EndpointRecord
 from lycheepin.steering.spreading import spread_fraction
 
-__all__ = ["RateLimits"]
+__all__ = ["LimitRecord", "RateLimits"]
 
 # Window in seconds in which a share of a limit is spent; longer for limits below one request in it.
 WINDOW_S = 4.0
@@ -44,17 +46,48 @@
         return max(1, floor(self.per_s * self.window_s))
 
 
+@dataclass(frozen=True)
+class LimitRecord:
+    """The limit of an endpoint as a value, None if it has ended, and the times of requests."""
+
+    per_s: float | None
+    named_at_s: float
+    sent_s: tuple[float, ...]
+
+
 class RateLimits:
     """The limits that endpoints have named to this daemon, and its shares of them.
 
     Times are monotonic seconds.
     """
 
-    def __init__(self, own: DaemonName, carriers: Carriers) -> None:
+    def __init__(
+        self,
+        own: DaemonName,
+        carriers: Carriers,
+        records: Mapping[EndpointId, LimitRecord] = MappingProxyType({}),
+    ) -> None:
         self._own = own
         self._carriers = carriers
-        self._limits: dict[EndpointId, _Limit] = {}
-        self._sent_s: dict[EndpointId, deque[float]] = {}
+        self._limits = {
+            name: _Limit(record.per_s, record.named_at_s)
+            for name, record in records.items()
+            if record.per_s is not None
+        }
+        self._sent_s = {name: deque(record.sent_s) for name, record in records.items()}
+
+    @property
+    def records(self) -> dict[EndpointId, LimitRecord]:
+        """The limits, and the counted requests, by endpoint."""
+        ended = _Limit(0.0, 0.0)
+        return {
+            name: LimitRecord(
+                self._limits[name].per_s if name in self._limits else None,
+                self._limits.get(name, ended).named_at_s,
+                tuple(sent_s),
+            )
+            for name, sent_s in self._sent_s.items()
+        }
 
     @property
     def count(self) -> int:
--- a/lycheepin/steering/region_shares.py
+++ b/lycheepin/steering/region_shares.py
@@ -9,11 +9,13 @@
 from __future__ import annotations
 
 from collections import deque
-from dataclasses import dataclass, field
+from collections.abc import Mapping
+from dataclasses import dataclass, field, replace
+from types import MappingProxyType
 
 from lycheepin.names import RegionName, ServiceName
 
-__all__ = ["RegionShares"]
+__all__ = ["RegionShares", "RequestBin", "SharesRecord"]
 
 # Length in seconds of the windows whose shares are compared, and of the bins that they consist of.
 WINDOW_S = 2.0
@@ -32,7 +34,7 @@
 
 
 @dataclass
-class _Bin:
+class RequestBin:
     """The requests of a fraction of a second: those sent by region, and those refused."""
 
     number: int
@@ -41,18 +43,39 @@
     refused_by_own: int = 0
 
 
+@dataclass(frozen=True)
+class SharesRecord:
+    """The bins of a service as values, and the slots of the own region by their times."""
+
+    bins: tuple[RequestBin, ...]
+    capacities: tuple[tuple[float, int], ...]
+
+
+def _copy_bin(counted: RequestBin) -> RequestBin:
+    """Returns a bin with the same counts."""
+    return replace(counted, sent=dict(counted.sent))
+
+
+_NOTHING = SharesRecord((), ())
+
+
 class _ServiceShares:
     """The requests of one service in the last two windows, and the own region's capacity."""
 
-    def __init__(self) -> None:
-        self.bins: deque[_Bin] = deque()
-        self.capacities: deque[tuple[float, int]] = deque()
+    def __init__(self, record: SharesRecord = _NOTHING) -> None:
+        self.bins = deque(_copy_bin(each) for each in record.bins)
+        self.capacities = deque(record.capacities)
 
-    def present_bin(self, now_s: float) -> _Bin:
+    @property
+    def record(self) -> SharesRecord:
+        """The bins and the capacities as they are now."""
+        return SharesRecord(tuple(map(_copy_bin, self.bins)), tuple(self.capacities))
+
+    def present_bin(self, now_s: float) -> RequestBin:
         """Returns the bin of the present, and drops those older than two windows."""
         number = int(now_s / BIN_S)
         if not self.bins or self.bins[-1].number != number:
-            self.bins.append(_Bin(number))
+            self.bins.append(RequestBin(number))
         while self.bins[0].number <= number - 2 * WINDOW_BINS:
             self.bins.popleft()
         return self.bins[-1]
@@ -83,10 +106,20 @@
     WINDOW_S seconds; with None nothing is held.
     """
 
-    def __init__(self, own_region: RegionName, max_shift: float | None) -> None:
+    def __init__(
+        self,
+        own_region: RegionName,
+        max_shift: float | None,
+        records: Mapping[ServiceName, SharesRecord] = MappingProxyType({}),
+    ) -> None:
         self.max_shift = max_shift
         self._own_region = own_region
-        self._services: dict[ServiceName, _ServiceShares] = {}
+        self._services = {name: _ServiceShares(record) for name, record in records.items()}
+
+    @property
+    def records(self) -> dict[ServiceName, SharesRecord]:
+        """What is counted, by service."""
+        return {name: shares.record for name, shares in self._services.items()}
 
     def needs_capacity(self, service: ServiceName, now_s: float) -> bool:
         """Returns whether `observe_capacity` is to be called, as the last capacity is too old."""
