--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -61,8 +61,8 @@
     Mutant(
         "review/2: the first part of a body is sent as the whole",
         "transport/incoming.py",
-        'return BodyStart(b"".join(parts))',
-        'return WholeBody(b"".join(parts))',
+        "return BodyStart(bytes(content))",
+        "return WholeBody(bytes(content))",
         "caller.bodies",
     ),
     Mutant(
@@ -104,7 +104,7 @@
     Mutant(
         "budgets: each daemon spends the whole budget of retries",
         "steering/budgets.py",
-        "return len(self._retries) + 1 <= allowed",
+        "return len(self._retries) + 1 <= part * allowed",
         "return True",
     ),
 )
