--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -12,6 +12,7 @@
 from collections.abc import Iterable, Mapping, Sequence
 from copy import deepcopy
 from dataclasses import dataclass, replace
+from itertools import islice
 from types import MappingProxyType
 
 from lycheepin.errors import ErrorKind
@@ -30,6 +31,7 @@
 from lycheepin.steering.contention import Contention
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.overflow import Overflow, choose_spare
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import LimitRecord, RateLimits
 from lycheepin.steering.region_shares import RegionShares, SharesRecord
@@ -61,6 +63,8 @@
 NO_REGION_RETRY_AFTER_S = 5.0
 # Largest deviation from the computed retry time, as a fraction, that spreads caller retries.
 RETRY_JITTER = 0.3
+# Number of an object's endpoints among which an overflow finds one with many free slots.
+MAX_OVERFLOW_RANK = 16
 # Number of an object's endpoints that may be passed over because they take no more requests a
 # second, before the attempt is refused.
 MAX_LIMITED = 16
@@ -98,6 +102,7 @@
         self._rate_limits = rate_limits
         self._cold_starts = ColdStartLimiter(limits, carriers, cold_starts_s)
         self._contention = Contention()
+        self._overflow = Overflow()
 
     @classmethod
     def from_counts(
@@ -145,6 +150,7 @@
         counts = self.copy_counts(now_s)
         copy = self.from_counts(self._carriers.own, self._registry, self.own_region, counts)
         copy._contention = deepcopy(self._contention)
+        copy._overflow = deepcopy(self._overflow)
         ordered = copy._placement.order_endpoints(requirements.service, requirements.object_key)
         candidates = tuple(copy._describe(each, requirements, now_s) for each in ordered)
         return copy.choose_endpoint(requirements, spec, now_s), candidates
@@ -196,6 +202,12 @@
         """
         choice = self._choose(requirements, spec, now_s)
         self._count_contention(requirements, choice, now_s)
+        self._overflow.count_attempt(
+            requirements.service,
+            isinstance(choice, SelectedEndpoint) and choice.rank >= PREFERRED_ENDPOINTS,
+            isinstance(choice, Refusal),
+            now_s,
+        )
         shares, service = self._region_shares, requirements.service
         if shares.needs_capacity(service, now_s):
             shares.observe_capacity(service, self._count_own_slots(service, now_s), now_s)
@@ -255,7 +267,8 @@
         """Returns the endpoint for an attempt, which isn't counted yet, or a refusal."""
         preferred, limited_s = self._find_preferred(requirements, now_s)
         if preferred:
-            return self._choose_warm(preferred, requirements, now_s)
+            choice = self._choose_warm(preferred, requirements, now_s)
+            return self._find_overflow(choice, preferred, requirements, now_s) or choice
         if limited_s is not None:
             return self._refuse_limited(limited_s, requirements.jitter)
         usable = self._usable_endpoints(requirements)
@@ -280,6 +293,40 @@
             return self._choose_warm(free, requirements, now_s)
         return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
 
+    def _find_overflow(
+        self,
+        choice: Choice,
+        preferred: Sequence[Endpoint],
+        requirements: AttemptRequirements,
+        now_s: float,
+    ) -> SelectedEndpoint | None:
+        """Returns another endpoint for an attempt that the preferred ones have no room for."""
+        service = requirements.service
+        if (
+            not isinstance(choice, Refusal)
+            or choice.rule not in (RefusalRule.FULL, RefusalRule.LATE)
+            or not self._overflow.allows(service, now_s)
+        ):
+            return None
+        ordered = islice(
+            self._placement.iterate_endpoints(service, requirements.object_key), MAX_OVERFLOW_RANK
+        )
+        usable = [
+            endpoint
+            for endpoint in ordered
+            if endpoint not in preferred
+            and self._is_usable(endpoint, requirements)
+            and now_s >= endpoint.excluded_until_s
+            and not endpoint.is_cold(now_s)
+            and endpoint.missing_since_s is None
+            and not self._rate_limits.wait_s(endpoint.record, now_s)
+        ]
+        spare = choose_spare(usable, now_s)
+        if spare is None:
+            return None
+        endpoint, rank = spare
+        return SelectedEndpoint(endpoint, len(preferred) + rank)
+
     def has_warm_capacity(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether an attempt would be sent to a warm endpoint now."""
         return self.find_warm(requirements, now_s) is not None
