--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -31,7 +31,7 @@
 from lycheepin.steering.contention import Contention
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
-from lycheepin.steering.overflow import Overflow, choose_spare
+from lycheepin.steering.overflow import Overflow, choose_spare, may_wait
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import LimitRecord, RateLimits
 from lycheepin.steering.region_shares import RegionShares, SharesRecord
@@ -322,10 +322,13 @@
             and not self._rate_limits.wait_s(endpoint.record, now_s)
         ]
         spare = choose_spare(usable, now_s)
-        if spare is None:
-            return None
-        endpoint, rank = spare
-        return SelectedEndpoint(endpoint, len(preferred) + rank)
+        if spare is not None:
+            endpoint, rank = spare
+            return SelectedEndpoint(endpoint, len(preferred) + rank)
+        if may_wait(preferred, requirements.deadline_s, self._registry.predict_answer_s, now_s):
+            rank = self._fastest(preferred[:PREFERRED_ENDPOINTS], now_s)[1]
+            return SelectedEndpoint(preferred[rank], PREFERRED_ENDPOINTS)
+        return None
 
     def has_warm_capacity(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether an attempt would be sent to a warm endpoint now."""
--- a/lycheepin/steering/overflow.py
+++ b/lycheepin/steering/overflow.py
@@ -10,23 +10,27 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 
 from lycheepin.names import ServiceName
 from lycheepin.steering.endpoint import Endpoint
 
-__all__ = ["Overflow", "choose_spare"]
+__all__ = ["Overflow", "choose_spare", "may_wait"]
 
 # Length in seconds of the window in which attempts are counted, and of the bins it consists of.
 WINDOW_S = 2.0
 BIN_S = 0.25
 # Largest part of the attempts in a window that overflows.
-MAX_PART = 0.15
+MAX_PART = 0.25
 # Part of the attempts in a window that is refused, above which nothing overflows.
 MAX_REFUSED_PART = 0.1
 # Part of an endpoint's slots up to which it takes an overflow.
 SPARE_FRACTION = 0.5
+# Requests at an endpoint for each slot, up to which late attempts may wait there, and how often the
+# expected time to their answer has to be left to the deadline.
+MAX_QUEUE = 2.0
+LATE_MARGIN = 1.5
 
 
 def choose_spare(endpoints: Iterable[Endpoint], now_s: float) -> tuple[Endpoint, int] | None:
@@ -41,6 +45,21 @@
     return None
 
 
+def may_wait(
+    preferred: Sequence[Endpoint],
+    deadline_s: float,
+    predict_answer_s: Callable[[Endpoint, float], float],
+    now_s: float,
+) -> bool:
+    """Returns whether a late answer of a preferred endpoint is expected well before the deadline."""
+    return any(
+        endpoint.reports_slowness
+        and endpoint.load(now_s) + 1 <= MAX_QUEUE * endpoint.record.slots
+        and now_s + LATE_MARGIN * predict_answer_s(endpoint, now_s) <= deadline_s
+        for endpoint in preferred[:2]
+    )
+
+
 @dataclass
 class _Bin:
     """The attempts of a fraction of a second."""
