Refused callers of workspaces return as room comes; what can't be answered any more is refused

Cause: all callers that an endpoint refused within a moment were told nearly the same time, spread by 30%, whatever their number; a retry was sent also where its deadline passes before an answer.

Change: steering/return_times.py gives each refusal the next place in the room that comes at its endpoint for this daemon and priority; once the places up to the longest time are taken, callers are spread over it. Retries whose deadline can't be met by half of the expected time, and first requests that only a slow endpoint would take, are refused as hopeless. Asking for capacity takes no place. Callers without a workspace are told the same times as before.

--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -19,11 +19,7 @@
 from lycheepin.quarantine.fingerprints import fingerprint_request
 from lycheepin.steering.budgets import BudgetLimits, Carriers, RetryBudgetShare
 from lycheepin.steering.choices import Refusal
-from lycheepin.steering.dispatch import (
-    MIN_RETRY_AFTER_S,
-    NO_REGION_RETRY_AFTER_S,
-    Dispatcher,
-)
+from lycheepin.steering.dispatch import NO_REGION_RETRY_AFTER_S, Dispatcher
 from lycheepin.steering.draining import DrainSchedule
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
@@ -32,6 +28,7 @@
     FIRST_FAILURE_STATUS,
     RequestProgress,
 )
+from lycheepin.steering.return_times import MIN_RETRY_AFTER_S
 from lycheepin.steering.returns import CallerRetries
 from lycheepin.steering.routes import RequestKind, Route, RoutingTable, TrafficSplitter
 from lycheepin.steering.suspects import Quarantined
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -13,6 +13,7 @@
 from copy import deepcopy
 from dataclasses import dataclass, replace
 from types import MappingProxyType
+from typing import NamedTuple
 
 from lycheepin.errors import ErrorKind
 from lycheepin.names import DaemonName, EndpointId, RegionName, ServiceName
@@ -33,9 +34,10 @@
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import LimitRecord, RateLimits
 from lycheepin.steering.region_shares import RegionShares, SharesRecord
+from lycheepin.steering.return_times import MAX_RETRY_AFTER_S, ReturnTimes, spread_retry
 from lycheepin.steering.routes import ServiceSpec
 
-__all__ = ["MIN_RETRY_AFTER_S", "NO_REGION_RETRY_AFTER_S", "Dispatcher", "DispatcherCounts"]
+__all__ = ["NO_REGION_RETRY_AFTER_S", "Dispatcher", "DispatcherCounts"]
 
 # Number of preferred endpoints of an object. With one, an object depends on a single endpoint; with
 # three, each of them would see the object half as often and lose it from its cache sooner.
@@ -54,13 +56,11 @@
 LATE_RETRY_RESERVE = 0.5
 # Relative penalty on the expected answer time of the second preferred endpoint.
 RANK_PENALTY = 0.5
-# Bounds in seconds of the time after which a refused caller is asked to retry.
-MIN_RETRY_AFTER_S = 0.2
-MAX_RETRY_AFTER_S = 1.3
 # Retry-After, in seconds, of requests that no region may serve until the configuration changes.
 NO_REGION_RETRY_AFTER_S = 5.0
-# Largest deviation from the computed retry time, as a fraction, that spreads caller retries.
-RETRY_JITTER = 0.3
+# Part of the expected time to an answer that has to be left to a request's deadline: some answers
+# come earlier than expected.
+HOPELESS_FRACTION = 0.5
 # Number of an object's endpoints that may be passed over because they take no more requests a
 # second, before the attempt is refused.
 MAX_LIMITED = 16
@@ -78,6 +78,15 @@
     region_shares: dict[ServiceName, SharesRecord]
 
 
+class _Weighed(NamedTuple):
+    """The fastest preferred endpoint: its rank, when it would answer, and why it can't take."""
+
+    rank: int
+    answer_s: float
+    claim: Claim
+    rule: RefusalRule | None
+
+
 class Dispatcher:
     """Selects endpoints for the attempts of this daemon."""
 
@@ -98,6 +107,7 @@
         self._rate_limits = rate_limits
         self._cold_starts = ColdStartLimiter(limits, carriers, cold_starts_s)
         self._contention = Contention()
+        self._return_times = ReturnTimes()
 
     @classmethod
     def from_counts(
@@ -145,6 +155,7 @@
         counts = self.copy_counts(now_s)
         copy = self.from_counts(self._carriers.own, self._registry, self.own_region, counts)
         copy._contention = deepcopy(self._contention)
+        copy._return_times = deepcopy(self._return_times)
         ordered = copy._placement.order_endpoints(requirements.service, requirements.object_key)
         candidates = tuple(copy._describe(each, requirements, now_s) for each in ordered)
         return copy.choose_endpoint(requirements, spec, now_s), candidates
@@ -184,6 +195,7 @@
         """Removes the counters of an endpoint that no longer exists."""
         self._cold_starts.forget_endpoint(endpoint_id)
         self._rate_limits.forget_endpoint(endpoint_id)
+        self._return_times.forget_endpoint(endpoint_id)
 
     def choose_endpoint(
         self, requirements: AttemptRequirements, spec: ServiceSpec, now_s: float
@@ -287,8 +299,10 @@
     def find_warm(self, requirements: AttemptRequirements, now_s: float) -> SelectedEndpoint | None:
         """Returns the warm endpoint that an attempt would be sent to now; None if there is none."""
         preferred, _ = self._find_preferred(requirements, now_s)
-        choice = self._choose_warm(preferred, requirements, now_s) if preferred else None
-        return choice if isinstance(choice, SelectedEndpoint) else None
+        if not preferred:
+            return None
+        found = self._weigh_preferred(preferred, requirements, now_s)
+        return SelectedEndpoint(preferred[found.rank], found.rank) if found.rule is None else None
 
     def _find_preferred(
         self, requirements: AttemptRequirements, now_s: float
@@ -365,17 +379,25 @@
         Within its slots, an endpoint also takes attempts that will miss their answer target.
         """
         preferred = candidates[:PREFERRED_ENDPOINTS]
-        answer_s, rank = self._fastest(preferred, now_s)
-        endpoint = preferred[rank]
-        claim = self._contention.find_claim(requirements, endpoint.record.region, now_s)
-        rule = self._find_obstacle(endpoint, answer_s, claim, requirements, now_s)
-        if rule is None:
-            return SelectedEndpoint(endpoint, rank)
-        past_deadline = now_s + answer_s > requirements.deadline_s
+        found = self._weigh_preferred(preferred, requirements, now_s)
+        endpoint = preferred[found.rank]
+        if found.rule is None:
+            return SelectedEndpoint(endpoint, found.rank)
+        past_deadline = now_s + found.answer_s > requirements.deadline_s
         kind = ErrorKind.DEADLINE if past_deadline else ErrorKind.NO_CAPACITY
         weighed = tuple(self._weigh(candidate, now_s) for candidate in preferred)
         refusal = self._refuse(endpoint, kind, requirements, weighed, now_s)
-        return replace(refusal, rule=rule, claim=claim)
+        return replace(refusal, rule=found.rule, claim=found.claim)
+
+    def _weigh_preferred(
+        self, preferred: Sequence[Endpoint], requirements: AttemptRequirements, now_s: float
+    ) -> _Weighed:
+        """Returns the rank of the fastest of the first endpoints, and what keeps it from taking."""
+        answer_s, rank = self._fastest(preferred[:PREFERRED_ENDPOINTS], now_s)
+        endpoint = preferred[rank]
+        claim = self._contention.find_claim(requirements, endpoint.record.region, now_s)
+        rule = self._find_obstacle(endpoint, answer_s, claim, requirements, now_s)
+        return _Weighed(rank, answer_s, claim, rule)
 
     def _find_obstacle(
         self,
@@ -392,6 +414,12 @@
         late_retry = (
             requirements.is_caller_retry and now_s + processing_s > requirements.target_at_s
         )
+        if requirements.workspace is not None:
+            left_s = requirements.deadline_s - now_s
+            # Without attempts the mean processing time would never fall again.
+            is_known = requirements.is_caller_retry or processing_s <= left_s
+            if is_known and HOPELESS_FRACTION * answer_s > left_s:
+                return RefusalRule.HOPELESS
         usable = slots * (1 - LATE_RETRY_RESERVE if late_retry else 1)
         priority = min(requirements.priority, len(WAITING_PER_SLOT) - 1)
         waiting = WAITING_PER_SLOT[priority]
@@ -439,20 +467,27 @@
     ) -> Refusal:
         """Returns a refusal whose retry time is the expected time to serve the endpoint's load.
 
-        The time is spread by RETRY_JITTER and kept within its bounds.
+        Callers of workspaces are told times one after another, as room comes for this daemon; times
+        of others are only spread.
         """
-        slots = endpoint.record.slots
-        excess = max(0.0, endpoint.load(now_s) + 1 - slots)
-        wait_s = self._registry.mean_processing_s(endpoint.record.service) * (1 + excess / slots)
-        return Refusal(kind, _spread_retry(wait_s, requirements.jitter), weighed)
+        slots, load = endpoint.record.slots, endpoint.load(now_s)
+        excess = max(0.0, load + 1 - slots)
+        processing_s = self._registry.mean_processing_s(endpoint.record.service)
+        wait_s = processing_s * (1 + excess / slots)
+        if requirements.workspace is None:
+            return Refusal(kind, spread_retry(wait_s, requirements.jitter), weighed)
+        interval_s = processing_s / slots * max(1.0, load / max(1, endpoint.in_flight))
+        retry_after_s = self._return_times.book(
+            endpoint.record.id,
+            requirements.priority,
+            wait_s,
+            interval_s,
+            requirements.jitter,
+            now_s,
+        )
+        return Refusal(kind, retry_after_s, weighed)
 
     @staticmethod
     def _refuse_limited(wait_s: float, jitter: float) -> Refusal:
         """Returns a refusal until an endpoint takes a request of this daemon again."""
-        return Refusal(ErrorKind.ENDPOINTS_LIMITED, _spread_retry(wait_s, jitter))
-
-
-def _spread_retry(wait_s: float, jitter: float) -> float:
-    """Returns the time to a caller's retry in seconds, spread and within its bounds."""
-    spread_s = wait_s * (1 + RETRY_JITTER * (2 * jitter - 1))
-    return min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, spread_s))
+        return Refusal(ErrorKind.ENDPOINTS_LIMITED, spread_retry(wait_s, jitter))
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -2,7 +2,8 @@
 
 from lycheepin.names import EndpointId, RegionName, ZoneName
 from lycheepin.steering.choices import Refusal, SelectedEndpoint
-from lycheepin.steering.dispatch import MAX_RETRY_AFTER_S, PREFERRED_ENDPOINTS, WAITING_PER_SLOT
+from lycheepin.steering.dispatch import PREFERRED_ENDPOINTS, WAITING_PER_SLOT
+from lycheepin.steering.return_times import MAX_RETRY_AFTER_S
 from tests.steering.builders import (
     SPEC,
     build_dispatcher,
--- a/tests/steering/test_fleet_growth.py
+++ b/tests/steering/test_fleet_growth.py
@@ -9,7 +9,6 @@
 from lycheepin.steering.budgets import Carriers
 from lycheepin.steering.choices import AttemptRequirements, Choice, Refusal, SelectedEndpoint
 from lycheepin.steering.dispatch import (
-    MAX_RETRY_AFTER_S,
     MIN_LISTED_FRACTION,
     PREFERRED_ENDPOINTS,
     Dispatcher,
@@ -17,6 +16,7 @@
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import OWN_REGION_WEIGHT, Placement, rendezvous_score
+from lycheepin.steering.return_times import MAX_RETRY_AFTER_S
 from lycheepin.steering.routes import ServiceSpec
 from tests.steering.builders import (
     OWN,
