Second attempts and second endpoints need a second token of the workspace

Change: RequestAttempts asks for a token before a second endpoint gets a request, a retry after an attempt that may have run does the same; all tokens come back if nothing may have run.

--- a/lycheepin/gateway/hedged_attempt.py
+++ b/lycheepin/gateway/hedged_attempt.py
@@ -68,7 +68,8 @@
     """Makes the attempts of one daemon and updates the state of their endpoints.
 
     `is_draining` returns whether the daemon drains; requests then get no second endpoint, and
-    attempts at unresponsive endpoints are not abandoned.
+    attempts at unresponsive endpoints are not abandoned. `admit_copy` returns whether the quota of
+    a request's workspace covers a second copy of it.
     """
 
     def __init__(
@@ -80,6 +81,7 @@
         carriers: Carriers,
         suspicions: SuspicionExchange,
         is_draining: Callable[[], bool],
+        admit_copy: Callable[[RequestProgress], bool],
         log: RequestLog,
         metrics: Metrics,
     ) -> None:
@@ -90,6 +92,7 @@
         self._carriers = carriers
         self._suspicions = suspicions
         self._is_draining = is_draining
+        self._admit_copy = admit_copy
         self._log = log
         self._metrics = metrics
         self._hedging = Hedging(dispatcher)
@@ -152,7 +155,7 @@
             )
             match second:
                 case SelectedEndpoint():
-                    return second
+                    return second if self._admit_copy(progress) else None
                 case HedgeDenial.NOT_ALLOWED:
                     return None
             if second not in denied:
--- a/lycheepin/gateway/quota_exchange.py
+++ b/lycheepin/gateway/quota_exchange.py
@@ -92,7 +92,7 @@
         if self.ledger.is_urgent:
             self._wake.set()
         if not isinstance(result, QuotaRefusal):
-            progress.spend = result
+            progress.spends.append(result)
             return None
         self._metrics.count("quota_refusals")
         self._log.write(
@@ -108,17 +108,20 @@
         )
         return result.retry_after_s
 
-    def admit_again(self, progress: RequestProgress) -> bool:
-        """Spends another token for a request that may have run; returns whether there is one."""
-        if progress.spend is None or not progress.may_have_run:
+    def admit_copy(self, progress: RequestProgress) -> bool:
+        """Spends a token for a second copy of a request; returns whether there is one."""
+        if not progress.spends:
             return True
-        result = self.ledger.try_spend(progress.spend.workspace, read_clock_s())
-        return not isinstance(result, QuotaRefusal)
+        result = self.ledger.try_spend(progress.spends[0].workspace, read_clock_s())
+        if isinstance(result, QuotaRefusal):
+            return False
+        progress.spends.append(result)
+        return True
 
     def settle(self, progress: RequestProgress) -> None:
-        """Gives the token of a request back if the request has certainly not run."""
-        spend, progress.spend = progress.spend, None
-        if spend is not None:
+        """Gives the tokens of a request back if it has certainly not run."""
+        spends, progress.spends = progress.spends, []
+        for spend in spends:
             self.ledger.settle(spend, progress.may_have_run, read_clock_s())
             self._metrics.count("quota_refunds", amount=not progress.may_have_run)
 
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -101,6 +101,7 @@
             carriers,
             suspicions,
             lambda: self.drain is not None,
+            quotas.admit_copy,
             log,
             metrics,
         )
@@ -241,7 +242,7 @@
                 and progress.try_reserve_attempt(
                     result, retry_share, self._carriers.slack_fraction(loop.time()), loop.time()
                 )
-                and self._quotas.admit_again(progress)
+                and (not progress.may_have_run or self._quotas.admit_copy(progress))
             ):
                 continue
             if isinstance(outcome, EndpointAnswer):
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -21,6 +21,7 @@
 METRICS_PORT = 9464
 # Bounds in milliseconds on the time until a change of the store has to be in force.
 _APPLY_BOUNDS = ("configApplyMs", "drainTimeoutMs", "evacuationMs")
+_QUOTA_BOUNDS = (("quotaWindowS", 5.0), ("quotaOver", 0.1), ("quotaSlack", 20.0))
 MS_PER_S = 1000
 
 
@@ -72,11 +73,7 @@
             heartbeat_s=float(document.get("heartbeatIntervalMs", DEFAULT_HEARTBEAT_S * MS_PER_S))
             / MS_PER_S,
             max_shift=bounds.get("maxShift"),
-            quota_terms=QuotaTerms(
-                bounds.get("quotaWindowS", 5.0),
-                bounds.get("quotaOver", 0.1),
-                bounds.get("quotaSlack", 20.0),
-            ),
+            quota_terms=QuotaTerms(*(bounds.get(*bound) for bound in _QUOTA_BOUNDS)),
             exchange_port=int(next(iter(document.get("innerPortRange", ())), 0)),
             link_mbps=float(limits.get("linkMbps", 0.0)),
             memory_mb=float(limits.get("memoryMb", 0.0)),
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -91,7 +91,7 @@
     `sent` counts the attempts that reached an endpoint, `unreachable` the failed connections and
     `running` the attempts that have not ended.
     `fingerprint` is the same for all requests like it. `workspace` is that of the
-    caller, None if it needs none; `spend` is the token of its quota that the request holds.
+    caller, None if it needs none; `spends` are the tokens of its quota that the request holds.
     """
 
     route: Route
@@ -109,7 +109,7 @@
     may_have_run: bool = False
     fingerprint: Fingerprint = Fingerprint("")
     workspace: Workspace | None = None
-    spend: Spend | None = None
+    spends: list[Spend] = field(default_factory=list)
 
     def build_requirements(self, excluding: EndpointId | None = None) -> AttemptRequirements:
         """Returns the requirements of the next attempt, without tried endpoints.
--- a/tests/gateway/test_hedged_attempts.py
+++ b/tests/gateway/test_hedged_attempts.py
@@ -86,6 +86,17 @@
         await self.wait_until(lambda: self._count_aborted() == 1)
         self.assertEqual([gateway.metrics.value("hedges", n) for n in ("sent", "won")], [1, 0])
 
+    async def test_no_second_endpoint_gets_a_request_whose_workspace_has_no_token_for_it(
+        self,
+    ) -> None:
+        gateway = await self._start()
+        asked: list[object] = []
+        gateway._handler._attempts._admit_copy = lambda progress: bool(asked.append(progress))
+        answered = self._send_stuck(gateway)
+        await self.wait_until(lambda: asked)
+        self.release.set()
+        self.assertEqual(((await answered)[0], len(self.stuck)), (200, 1))
+
     async def test_failure_of_one_attempt_leaves_the_other_to_answer(self) -> None:
         gateway = await self._start()
 
--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -16,7 +16,7 @@
 from lycheepin.steering.quota_shares import QuotaTerms
 from lycheepin.steering.quotas import Ask, Grant, Return, Want, identify_by_number
 from standins.messages import configuration
-from standins.servers import EndpointStandIn, answer_ok
+from standins.servers import EndpointStandIn, ReceivedRequest, answer_ok
 from tests.gateway.deployment import HOST, DeploymentCase
 
 EXCHANGE_PORT = 11_900
@@ -110,6 +110,21 @@
         await self.wait_until_ready(gateway)
         self.assertEqual(await self.ask(gateway, 2), [200, 429])
 
+    async def test_second_attempt_needs_a_second_token(self) -> None:
+        async def break_off(received: ReceivedRequest) -> bytes:
+            return b""
+
+        self.store.put("op/config", build_configuration(rate=2.0, burst=1.0))
+        for name in ("one", "two"):
+            await self.add_endpoint(name, break_off)
+        gateway = await self.add_member(1)
+        await self.wait_until_ready(gateway)
+        await self.wait_until(lambda: self.count_tokens(gateway) >= 1.0)
+        self.assertEqual(await self.ask(gateway, 1), [502])
+        self.assertEqual(sum(len(e.received_requests) for e in self.endpoints), 1)
+        self.assertEqual({*await self.ask(gateway, 1, "b-1")}, {502})
+        self.assertEqual(sum(len(e.received_requests) for e in self.endpoints), 3)
+
 
 class ForgeryTest(QuotaCase):
     terms = QuotaTerms()
