--- a/lycheepin/steering/quota_shares.py
+++ b/lycheepin/steering/quota_shares.py
@@ -120,6 +120,7 @@
         self._counts: deque[tuple[float, float]] = deque([(now_s, inf)])
         self._count = inf
         self._now_s = now_s
+        self._since_s = now_s
         self._accrued = [0.0] * (MAX_HOLDERS + 1)
         self._accrued_at_change = self._accrued
         self.change_count = 0
@@ -148,9 +149,7 @@
         if gap_s > MAX_GAP_S:
             self._counts = deque([(now_s, inf)])
             self._count = inf
-        elif gap_s > 0.0 and self._count < inf:
-            for holders in range(1, MAX_HOLDERS + 1):
-                self._accrued[holders] += gap_s / min(self._count, holders)
+            self._since_s = now_s
         self._update_carriers(now_s)
         has_share = in_touch and self._position is not None
         count = float(len(self._order)) if has_share else inf
@@ -159,7 +158,10 @@
             counts.append((now_s, count))
         while len(counts) > 1 and counts[1][0] <= now_s - SETTLE_S:
             counts.popleft()
-        self._count = max(known for _, known in counts)
+        largest = max(known for _, known in counts)
+        if largest != self._count:
+            self._settle_accrued()
+            self._count = largest
         return gap_s <= MAX_GAP_S
 
     def is_holder(self, name: str, max_holders: int) -> bool:
@@ -181,7 +183,8 @@
 
     def accrued(self, max_holders: int) -> float:
         """Returns the seconds for which a holder would have accrued a whole quota by now."""
-        return self._accrued[max_holders]
+        elapsed_s = self._now_s - self._since_s
+        return self._accrued[max_holders] + self.divide(elapsed_s, max_holders)
 
     def accrued_before_change(self, max_holders: int) -> float:
         """Returns what `accrued` was when the holders of quotas changed last.
@@ -190,6 +193,12 @@
         """
         return self._accrued_at_change[max_holders] if len(self._order) > max_holders else 0.0
 
+    def _settle_accrued(self) -> None:
+        """Adds what has accrued since the share changed last."""
+        for holders in range(1, MAX_HOLDERS + 1):
+            self._accrued[holders] = self.accrued(holders)
+        self._since_s = self._now_s
+
     def _update_carriers(self, now_s: float) -> None:
         """Applies changes of the listed carriers, and the end of the time of departed ones."""
         listed, departed = self._find_carriers(), self._departed_s
@@ -209,6 +218,7 @@
         if known != {*self._order}:
             self._hashes = {n: self._hashes.get(n) or _hash_name(n) for n in known}
             self._order = tuple(sorted(known, key=self._hashes.__getitem__))
+            self._settle_accrued()
             self._accrued_at_change = list(self._accrued)
             self.change_count += 1
         is_carrier = self._own in listed
