--- a/lycheepin/steering/quotas.py
+++ b/lycheepin/steering/quotas.py
@@ -61,9 +61,11 @@
 MAX_FILLED = 500
 # Smallest loan in tokens.
 MIN_LOAN = 0.02
-# Most wants and returns of a message; loans that are not returned end by themselves.
-MAX_WANTS = 40
-MAX_RETURNS = 40
+# Most asks at once, and most wants and returns of one, so that it fits into a packet; what is left
+# out comes later, and loans that are not returned end by themselves.
+MAX_ASKS = 64
+MAX_WANTS = 30
+MAX_RETURNS = 16
 # Time in seconds after a refusal in which a loan comes, and the longest that a caller is told.
 LOAN_DELAY_S = 0.3
 MAX_RETRY_AFTER_S = 5.0
@@ -273,13 +275,15 @@
         returns: dict[DaemonName, list[Return]] = {}
         for name in self._list_in_demand(now_s):
             for lender, want in self._plan_wants(name, now_s):
+                if len(wants) == MAX_ASKS and lender not in wants:
+                    continue
                 if len(listed := wants.setdefault(lender, [])) < MAX_WANTS:
                     listed.append(want)
             for loan in self._buckets[name].give_back(now_s):
                 if len(ended := returns.setdefault(loan.lender, [])) < MAX_RETURNS:
                     ended.append(Return(loan.number, identify_by_number(name), loan.left))
         asks = []
-        for lender in wants.keys() | returns.keys():
+        for lender in dict.fromkeys((*wants, *returns)):
             self._last_number += 1
             ask = Ask(
                 self._last_number,
