Tests of the account, of refusals for memory, of descriptors that ran out, of requests behind a close

Each was seen to fail on a mutant or on the code before: without the handler of EMFILE, and without the close while none is accepted (tests.transport.test_accepting).

--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -55,6 +55,22 @@
         self.assertEqual((statuses, await reader.read()), ([refused], b""))
         writer.close()
 
+    # Guards against a request being run whose connection closes with the answer before it.
+    async def test_requests_behind_an_answer_that_closes_the_connection_are_not_run(self) -> None:
+        endpoint, gateway, may_answer = await self._start_with_held_answers()
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        orders = [request("/order/1", "POST", f"r{n}", b"order") for n in range(9)]
+        writer.write(b"".join(orders))
+        await self.wait_until(lambda: endpoint.received_requests)
+        gateway._caller_listener.closing = True
+        may_answer.set()
+        status, headers, _ = await read_answer(reader)
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        self.assertEqual(await reader.read(), b"")
+        self.assertEqual(len(endpoint.received_requests), 1)
+        writer.close()
+
     # Guards against a head that never ends being kept for the idle timeout.
     async def test_head_in_the_segment_of_another_request_has_the_header_timeout(self) -> None:
         await self.add_endpoint("a")
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -22,6 +22,9 @@
 [platform]
 address = "10.200.1.7:8142"
 ttlMinMs = 1500
+[limits]
+memoryMb = 300
+maxFds = 4100
 """
 
 
@@ -39,6 +42,7 @@
         self.assertEqual(settings.terms.retry_slack, 62.0)  # type: ignore[attr-defined]
         self.assertEqual(len(settings.seeds), 1)  # type: ignore[attr-defined]
         self.assertEqual(settings.min_lease_s, 1.5)  # type: ignore[attr-defined]
+        self.assertEqual((settings.memory_mb, settings.max_fds), (300.0, 4100))  # type: ignore
 
     def test_bounds_may_be_one_string_separated_by_commas(self) -> None:
         start = SETTINGS.index("bounds")
--- /dev/null
+++ b/tests/transport/test_accepting.py
@@ -0,0 +1,76 @@
+"""Listening sockets of a process that has no descriptors left."""
+
+import asyncio
+import errno
+import socket
+import unittest
+
+from lycheepin.steering.holdings import Holdings, Machine
+from lycheepin.transport.incoming import IncomingRequest
+from lycheepin.transport.listener import Listener
+from standins.messages import HOST
+
+TIMEOUT_S = 20.0
+
+
+class FullSocket(socket.socket):
+    """A listening socket that has no descriptor for its first connections."""
+
+    failures = 3
+
+    def accept(self) -> tuple[socket.socket, object]:
+        if self.failures:
+            self.failures -= 1
+            raise OSError(errno.EMFILE, "too many open files")
+        return super().accept()
+
+
+class Accepting(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        async def answer(request: IncomingRequest) -> None:
+            await self.may_answer.wait()
+            request.respond(200, [], b"")
+
+        self.may_answer = asyncio.Event()
+        self.may_answer.set()
+        self.listener = Listener(answer, Holdings(Machine.from_limits(80, 300)))
+        self.listening = FullSocket()
+        self.listening.bind((HOST, 0))
+        await self.listener.listen_on(self.listening)
+        self.checks = asyncio.create_task(self.listener.close_expired_connections())
+
+    async def asyncTearDown(self) -> None:
+        self.checks.cancel()
+        self.listener.stop_listening()
+        for connection in list(self.listener.connections):
+            connection.abort()
+
+    async def _open(self, content: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Returns a connection on which bytes have been sent."""
+        reader, writer = await asyncio.open_connection(*self.listening.getsockname())
+        writer.write(content)
+        return reader, writer
+
+    async def test_connections_are_accepted_once_there_are_descriptors(self) -> None:
+        errors: list[Exception] = []
+        self.listener.on_error = errors.append
+        reader, writer = await self._open(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertIn(b"200", await reader.readline())
+        self.assertEqual([error.errno for error in errors if isinstance(error, OSError)], [24] * 3)
+        writer.close()
+
+    async def test_connections_close_after_their_answer_while_others_wait(self) -> None:
+        self.listening.failures = 0
+        self.may_answer.clear()
+        get = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+        opened = [await self._open(get) for _ in range(80)]
+        async with asyncio.timeout(TIMEOUT_S):
+            while self.listener.is_accepting:
+                await asyncio.sleep(0.01)
+            self.may_answer.set()
+            heads = [await reader.readuntil(b"\r\n\r\n") for reader, _ in opened]
+        self.assertTrue(all(head.startswith(b"HTTP/1.1 200") for head in heads))
+        self.assertTrue(any(b"Connection: close" in head for head in heads))
+        for _, writer in opened:
+            writer.close()
