The project's own daemon refuses bodies that memory is too short for; requests that didn't begin too

A request that is chosen before its handler has begun is refused with 503 and not handled; before, its connection was reset. Test: tests.daemon.test_framing (failed with a reset before). The test of requests behind a close now ends with an incomplete one: its first form passed on a mutant that keeps the queue.

--- a/lycheepin/daemon/caller_request.py
+++ b/lycheepin/daemon/caller_request.py
@@ -65,15 +65,23 @@
         return self.body is not None or not self.body_consumed
 
     async def read_small_body(self) -> None:
-        """Buffers a body of at most BUFFERED_BODY_BYTES; any other body is streamed later."""
+        """Buffers a body of at most BUFFERED_BODY_BYTES; any other body is streamed later.
+
+        Raises BodyRefused if memory is short.
+        """
         content_length = self.content_length
         if content_length == 0:
             self.body = b""
         elif content_length is not None and content_length <= BUFFERED_BODY_BYTES:
             parts = []
-            while chunk := await self.read_chunk():
-                parts.append(chunk)
+            self._incoming.awaits_body = True
+            try:
+                while chunk := await self.read_chunk():
+                    parts.append(chunk)
+            finally:
+                self._incoming.awaits_body = False
             self.body = b"".join(parts)
+            self._incoming.hold(len(self.body))
 
     async def read_chunk(self) -> bytes:
         """Returns the next part of the body, empty at its end.
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -461,6 +461,9 @@
         """Runs the handler for a request; starts the next one once the answer is mostly read."""
         self._server.in_flight += 1
         try:
+            request.awaits_body = False
+            if request.body_refused:
+                raise BodyRefused
             await self._server.handler(request)
         except asyncio.CancelledError:
             self._end_task()
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -89,7 +89,8 @@
 class IncomingRequest:
     """A request from a caller, whose body may still be arriving, and its answer.
 
-    `awaits_body` is true while the request waits for its body and has not been sent anywhere.
+    `awaits_body` is true before the request is handled, and while it waits for its body and has not
+    been sent anywhere; `body_refused` once it has been told that its body is not read.
     `held_bytes` is the memory that it takes. Its caller is cut off when it reads nothing of the
     answer for `unread_limit_s`, if that is set.
     """
@@ -98,9 +99,9 @@
         self._connection = connection
         self._content = bytearray()
         self._body_waiter: asyncio.Future[None] | None = None
-        self._body_refused = False
+        self.body_refused = False
         self.held_bytes = REQUEST_BYTES
-        self.awaits_body = False
+        self.awaits_body = True
         self.unread_limit_s: float | None = None
         self.arrival_s = arrival_s
         self.method = b"GET"
@@ -181,7 +182,7 @@
 
     def refuse_body(self) -> None:
         """Ends the wait for the body with BodyRefused, and forgets what has arrived of it."""
-        self._body_refused = True
+        self.body_refused = True
         self._content.clear()
         self.held_bytes = REQUEST_BYTES
         self._wake_reader()
@@ -198,7 +199,7 @@
         BodyRefused if the body is refused.
         """
         while not self._content:
-            if self._body_refused:
+            if self.body_refused:
                 raise BodyRefused
             if self.body_complete:
                 return b""
--- a/tests/daemon/test_framing.py
+++ b/tests/daemon/test_framing.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import unittest
+from asyncio import FIRST_COMPLETED
 
+from lycheepin.steering.holdings import Holdings, Machine
 from standins.messages import read_answer
 from tests.daemon.test_requests import HOST, LONG_BODY, DaemonFixture, build_reply
 
@@ -56,6 +58,24 @@
             (answer,) = await self._exchange(fixture, head + LONG_BODY)
             self.assertEqual((answer[0], answer[1]["lycheepin-error"]), (404, "unknown_class"))
 
+    # Guards against bodies that stop short of their end taking the memory of a process.
+    async def test_body_is_refused_when_memory_is_short(self) -> None:
+        async with DaemonFixture([answer_with_body]) as fixture:
+            fixture._server._listener.holdings = Holdings(Machine.from_limits(1))
+            body = HEAD + b"Content-Length: 60000\r\n\r\n" + bytes(59_999)
+            opened = [await asyncio.open_connection(HOST, fixture.port) for _ in range(4)]
+            for _, writer in opened:
+                writer.write(body)
+            answers = [asyncio.create_task(read_answer(reader)) for reader, _ in opened]
+            done, _ = await asyncio.wait(answers, timeout=TIMEOUT_S, return_when=FIRST_COMPLETED)
+            refusals = [task.result() for task in done]
+            self.assertEqual({status for status, _, _ in refusals}, {503})
+            self.assertEqual(refusals[0][1]["lycheepin-error"], "no_memory")
+            self.assertEqual(fixture.requests, [])
+            for task, (_, writer) in zip(answers, opened, strict=True):
+                task.cancel()
+                writer.close()
+
     # Guards against a caller sending a body that nobody needs.
     async def test_body_of_a_refused_request_is_not_asked_for(self) -> None:
         async with DaemonFixture([answer_with_body]) as fixture:
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -60,15 +60,17 @@
         endpoint, gateway, may_answer = await self._start_with_held_answers()
         front = gateway.settings.front
         reader, writer = await asyncio.open_connection(front.host, front.port)
-        orders = [request("/order/1", "POST", f"r{n}", b"order") for n in range(9)]
-        writer.write(b"".join(orders))
+        orders = [request("/order/1", "POST", f"r{n}", b"order") for n in range(3)]
+        writer.write(b"".join(orders)[:-1])
         await self.wait_until(lambda: endpoint.received_requests)
         gateway._caller_listener.closing = True
         may_answer.set()
         status, headers, _ = await read_answer(reader)
         self.assertEqual((status, headers["connection"]), (200, "close"))
         self.assertEqual(await reader.read(), b"")
-        self.assertEqual(len(endpoint.received_requests), 1)
+        self.assertEqual((await self.send_request(gateway, request("/read/2")))[0], 200)
+        targets = [received.target for received in endpoint.received_requests]
+        self.assertEqual(targets, ["/order/1", "/read/2"])
         writer.close()
 
     # Guards against a head that never ends being kept for the idle timeout.
