A reset after the stream's end breaks an answer beside an upload that lies unread, too

Cause: the wait for a reset asked whether the daemon had bytes left to hand over. What the sockets hold was taken for read. Change: an answer without a length to a request of more than 64 KiB ends 0.25 s after its stream. The stand-ins play this, and statuses that are none; the ledger reports the latter. Five mutants for these and for workspaces. Tests: test_reset_beside_an_upload_that_was_handed_over_breaks_the_answer failed before.

--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -39,9 +39,11 @@
 # First byte of an answer; the parser also takes start lines of other protocols.
 FIRST_BYTES = (b"H", b"")
 SWITCHING_PROTOCOLS = 101
-# Time in seconds for which a reset may follow the end of an answer without a length to a request
-# that was not sent in full: an endpoint that has closed the connection resets it then.
+# Time in seconds for which a reset may follow the end of an answer without a length, if the request
+# is longer than LONG_REQUEST_BYTES or was not sent in full: an endpoint that ends without having
+# read it resets the connection.
 RESET_WAIT_S = 0.25
+LONG_REQUEST_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_PER_TARGET = 64
 IDLE_LIMIT_S = 4.0
@@ -109,6 +111,7 @@
         self._keep_alive = True
         self._failure: str | None = None
         self._used = False
+        self._sent_bytes = 0
         self._extra_message = False
         self._no_body = False
         self._accept_head: Callable[[AnswerHead], bool] = _accept_any
@@ -134,14 +137,15 @@
     def eof_received(self) -> bool:
         """Called by asyncio; the end of the stream ends an answer without a length.
 
-        Returns whether the connection is kept: until RESET_WAIT_S later, if the request was not
-        sent in full.
+        Returns whether the connection is kept: until RESET_WAIT_S later, if the endpoint may not
+        have read the whole request.
         """
         head_arrived = self._head is not None and self._head.done() and not self._head.exception()
         if not self._ends_at_close or not head_arrived or self._complete:
             return False
         assert self._transport is not None
-        if self.sending_body or self._transport.get_write_buffer_size() > 0:
+        is_long = self.sending_body or self._sent_bytes > LONG_REQUEST_BYTES
+        if is_long or self._transport.get_write_buffer_size() > 0:
             asyncio.get_running_loop().call_later(RESET_WAIT_S, self._end_unless_reset)
             return True
         self._end_with_stream()
@@ -331,12 +335,14 @@
         self.sent = True
         self.answer_begun = False
         self.sending_body = False
+        self._sent_bytes = len(head)
         self._transport.write(head)
 
     async def send_body(self, data: bytes) -> None:
         """Sends a part of the body and waits while the write buffer is full."""
         if self._transport is None or self._failure is not None:
             raise BrokenAnswer(self._failure or "connection closed")
+        self._sent_bytes += len(data)
         self._transport.write(data)
         await self._writable.wait()
 
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -18,6 +18,8 @@
 
 # Statuses which guarantee that a protected request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+# Statuses of the protocol that end a request.
+STATUSES = range(200, 600)
 # Maximum attempts per request in the routes of the soak.
 MAX_ATTEMPTS = 2
 # Time limits: for the last run at a leaving endpoint, for applying a configuration, and for the
@@ -268,6 +270,8 @@
                 self._report_violation("own whole answer", f"{identifier} {detail}".strip())
             if not history.runs:
                 self._report_violation("success without a run", identifier)
+        if status not in STATUSES:
+            self._report_violation("no answer", f"{identifier} got status {status:03}")
         if status == 401:
             self._check_key_refusal(sent_request, now_s)
         if status == 404:
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -107,6 +107,41 @@
         "return len(self._retries) + 1 <= part * allowed",
         "return True",
     ),
+    Mutant(
+        "answers: any three digits are a status",
+        "transport/connection.py",
+        "STATUSES = range(100, 600)",
+        "STATUSES = range(1000)",
+        "endpoint.garbage",
+    ),
+    Mutant(
+        "answers: the end of the stream ends an answer beside an unread upload",
+        "transport/connection.py",
+        "LONG_REQUEST_BYTES = 64 * 1024",
+        "LONG_REQUEST_BYTES = 64 * 1024 * 1024",
+        "endpoint.reset-no-length",
+    ),
+    Mutant(
+        "workspaces: a request without a key runs",
+        "gateway/identification.py",
+        "if workspace is None and not route.is_public:",
+        "if False:",
+        "caller.odd-keys",
+    ),
+    Mutant(
+        "workspaces: a name that the caller sent is passed on",
+        "gateway/identification.py",
+        "if name.lower() != header_names.workspace",
+        "if True",
+        "caller.forged-names",
+    ),
+    Mutant(
+        "workspaces: homes do not bind",
+        "steering/progress.py",
+        "return intersect_regions(",
+        "return frozenset() and intersect_regions(",
+        "platform.homes",
+    ),
 )
 
 
--- a/standins/hostile.py
+++ b/standins/hostile.py
@@ -29,6 +29,17 @@
 # Size of an answer whose end comes with its connection, up to which it is sent in one piece.
 PART_BYTES = 300
 UNLIMITED = 1_000_000
+# Start lines of bytes that are no answer.
+START_LINES = (
+    b"\x00\x01 not an answer",
+    b"HTTP/1.1 000 OK",
+    b"HTTP/1.1 099 OK",
+    b"HTTP/1.1 600 OK",
+    b"HTTP/1.1 999 OK",
+    b"HTTP/0.9 200 OK",
+    b"HTTP/1.1 101 Switching Protocols",
+    b"HTTP/1.1 2000 OK",
+)
 ODD_HEADERS = (
     b"Server-Load: -1,zz",
     b"Server-Load: 1,%s,4" % (b"9" * 400),
@@ -125,7 +136,7 @@
             writer.write(content)
             return False
         if board.happens("endpoint.garbage"):
-            writer.write(b"\x00\x01 not an answer\r\n\r\n")
+            writer.write(self._random.choice(START_LINES) + content[content.index(b"\r\n") :])
             return False
         if board.happens("endpoint.endless"):
             await self._send_without_end(writer, head)
@@ -169,11 +180,16 @@
     async def _end_with_connection(
         self, received: ReceivedRequest, head: bytes, body: bytes
     ) -> bool:
-        """Sends an answer without a length, whole or reset in its middle; returns False."""
+        """Sends an answer without a length, whole or reset in its middle; returns False.
+
+        Beside a body that was not read, the stream may end before the reset.
+        """
         writer = received.writer
         writer.write(_remove_length(head) + b"\r\n\r\n")
         if self.board.happens("endpoint.reset-no-length"):
             writer.write(body[:PART_BYTES])
+            if not received.body_read and self._random.random() < 0.5:
+                writer.write_eof()
             await asyncio.sleep(EXTRA_DELAY_S)
             reset_connection(writer)
             return False
--- a/tests/soak/test_ledger.py
+++ b/tests/soak/test_ledger.py
@@ -130,7 +130,11 @@
     def test_unknown_request_and_missing_route_are_reported(self) -> None:
         self.ledger.record_run("nobody", "a", "desk", SENT, 100.0)
         self.ledger.record_answer("p", 404, True, 100.0)
-        self.assertEqual(self._violated_guarantees(), ["unasked", "known route"])
+        self.ledger.record_answer("p", 0, False, 100.0)
+        self.ledger.record_answer("p", 600, False, 100.0)
+        self.assertEqual(
+            self._violated_guarantees(), ["unasked", "known route", "no answer", "no answer"]
+        )
 
     def _run_as(
         self, credentials: tuple[str, ...], name: str, region: str = "r0", at_s: float = 100.0
--- a/tests/transport/test_broken_answers.py
+++ b/tests/transport/test_broken_answers.py
@@ -148,6 +148,31 @@
                     ):
                         await self._upload(end, part, pieces)
 
+    async def test_reset_beside_an_upload_that_was_handed_over_breaks_the_answer(self) -> None:
+        """The server has the whole upload in its buffers, and reads none of it."""
+
+        async def answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            transport = writer.transport
+            assert isinstance(transport, asyncio.Transport)
+            transport.pause_reading()
+            writer.write(OPEN_ENDED + b"a part")
+            await end(reader, writer)
+
+        for end in ENDS:
+            if end is read_and_reset:
+                continue
+            with self.subTest(end.__name__), self.assertRaises(BrokenAnswer):
+                connection = await ConnectionPool(HOST).acquire(HOST, await self._listen(answer))
+                body = bytes(200_000)
+                head = b"POST / HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(body)
+                try:
+                    connection.send_request_head(head + body)
+                    async with asyncio.timeout(TIMEOUT_S):
+                        async for _ in connection.body():
+                            pass
+                finally:
+                    connection.close()
+
     async def test_answer_whose_endpoint_reads_on_is_whole(self) -> None:
         for part in (b"", b"a part", bytes(300_000)):
             for pieces in (1, 400):
@@ -220,7 +245,7 @@
         for error in (ConnectionResetError(), BrokenPipeError(), None):
             connection: Connection
             connection, transport = open_connection()
-            transport.get_write_buffer_size.return_value = 1
+            connection.sending_body = True
             connection.data_received(OPEN_ENDED + bytes(300_000))
             connection.eof_received()
             connection.connection_lost(error)
