The soak draws quotas; its daemons lend tokens over the inner port

Change: `platform.quotas` is drawn, and the exception in the draw's test is gone with the field. The settings of a soak's daemons name the port range over which tokens are lent. One more mutant.

--- a/soak/daemons.py
+++ b/soak/daemons.py
@@ -16,6 +16,7 @@
 __all__ = ["BOUNDS", "Daemon"]
 
 REPOSITORY_ROOT = pathlib.Path(__file__).resolve().parent.parent
+INNER_PORTS = 7660, 7675
 LISTENER_PORT, READY_PORT, DIRECTORY_PORT, CONTROL_PORT = 8144, 8140, 8143, 8146
 # Default bounds of the daemons' settings; names that end in S or _s are times in seconds.
 BOUNDS: Mapping[str, float] = {
@@ -135,6 +136,7 @@
 region = "{self.zones[self.zone]}"
 seeds = [{seed_entries}]
 bounds = [{bound_entries}]
+innerPortRange = [{INNER_PORTS[0]}, {INNER_PORTS[1]}]
 [zones]
 {zone_entries}
 [listen]
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -135,6 +135,13 @@
         "if True",
         "caller.forged-names",
     ),
+    Mutant(
+        "workspaces: a request runs without a token of the quota",
+        "steering/quotas.py",
+        "if bucket.holdings >= 1.0 - ROUNDING:\n            own, borrowed",
+        "if True:\n            own, borrowed",
+        "platform.quotas",
+    ),
     Mutant(
         "workspaces: homes do not bind",
         "steering/progress.py",
--- a/soak/switching.py
+++ b/soak/switching.py
@@ -54,8 +54,7 @@
     """Returns the switches of a run with a seed that lasts for some seconds."""
     source = random.Random(f"switches {seed}")
     drawn = []
-    names = sorted(name for name, switch in SWITCHES.items() if switch.drawn)
-    for name in source.sample(names, source.randint(MIN_DRAWN, MAX_DRAWN)):
+    for name in source.sample(sorted(SWITCHES), source.randint(MIN_DRAWN, MAX_DRAWN)):
         switch = SWITCHES[name]
         start_s = round(source.uniform(0, seconds * (1 - MIN_FRACTION)), 1)
         end_s = round(source.uniform(start_s + seconds * MIN_FRACTION, seconds), 1)
--- a/standins/switches.py
+++ b/standins/switches.py
@@ -29,8 +29,7 @@
 
     `doses` are the values that a soak draws from; `unit` says what they are. A switch that
     `disturbs` excuses what takes longer meanwhile. One that is `from_start` can't change later.
-    `needs` is a switch that is on from the start wherever this one is. A switch that is not `drawn`
-    plays what the code doesn't serve yet, and is turned on by name only.
+    `needs` is a switch that is on from the start wherever this one is.
     """
 
     name: str
@@ -39,7 +38,6 @@
     disturbs: bool = False
     from_start: bool = False
     needs: str = ""
-    drawn: bool = True
 
     @property
     def party(self) -> Party:
@@ -110,7 +108,7 @@
     Switch(_WORKSPACES, (3, 40), COUNT, from_start=True),
     Switch("platform.change-keys", (0.5, 2.0), SECONDS, needs=_WORKSPACES),
     Switch("platform.homes", (0.3, 1.0), FRACTION, from_start=True, needs=_WORKSPACES),
-    Switch("platform.quotas", (5.0, 20.0), PER_SECOND, True, True, _WORKSPACES, drawn=False),
+    Switch("platform.quotas", (2.0, 10.0), PER_SECOND, from_start=True, needs=_WORKSPACES),
 )
 # All switches by their names.
 SWITCHES: Mapping[str, Switch] = {switch.name: switch for switch in _ALL}
--- a/tests/soak/test_switches.py
+++ b/tests/soak/test_switches.py
@@ -56,9 +56,7 @@
         drawn = {seed: draw_switches(seed, SECONDS) for seed in range(200)}
         self.assertEqual(drawn[3], draw_switches(3, SECONDS))
         names = {switch.name for switches in drawn.values() for switch in switches}
-        undrawn = {name for name, switch in SWITCHES.items() if not switch.drawn}
-        self.assertEqual(undrawn, {"platform.quotas"})
-        self.assertEqual(names, set(SWITCHES) - undrawn)
+        self.assertEqual(names, set(SWITCHES))
         for switches in drawn.values():
             self.assertTrue(MIN_DRAWN <= len(switches) <= MAX_DRAWN)
             self.assertTrue(all(0 <= s.start_s < s.end_s <= SECONDS for s in switches))
