--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -383,8 +383,11 @@
                 request.hold(size - expected)
                 expected = size
             if size > min(MAX_BUFFERED_ANSWER_BYTES, max(SMALL_ANSWER_BYTES, holdings.whole_bytes)):
-                connection.put_back(parts, STREAM_HIGH_WATER_BYTES)
-                request.hold(STREAM_HIGH_WATER_BYTES + READ_BYTES + holdings.machine.unread_bytes)
+                unread_bytes = holdings.machine.unread_bytes
+                connection.put_back(
+                    parts, STREAM_HIGH_WATER_BYTES, unread_bytes if holdings.is_short else 0
+                )
+                request.hold(STREAM_HIGH_WATER_BYTES + READ_BYTES + unread_bytes)
                 return EndpointAnswer(head, b"", connection, size)
     except BaseException:
         request.hold(-expected)
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -103,14 +103,12 @@
             RegionShares(settings.region, settings.max_shift),
         )
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
-        machine = Machine.from_limits(
-            settings.memory_mb, settings.max_fds or read_descriptor_limit()
+        self.holdings = Holdings(
+            Machine.from_limits(settings.memory_mb, settings.max_fds or read_descriptor_limit())
         )
-        self.holdings = Holdings(machine)
         self.holdings.count_endpoint_sockets = lambda: self._pool.open_count
         self.holdings.count_idle_sockets = lambda: self._pool.idle_count
         self._pool.has_room = lambda: self.holdings.has_endpoint_socket
-        self._pool.machine = machine
         self.suspects = SuspectRegistry(carriers.is_chosen)
         self.suspicions = SuspicionExchange(
             settings.name,
--- a/lycheepin/steering/holdings.py
+++ b/lycheepin/steering/holdings.py
@@ -28,7 +28,7 @@
 FULL_SHARE = 0.2
 # Part of what is left below the first of them that one body or answer may take.
 WHOLE_SHARE = 1 / 16
-# Part of the memory that the kernel may hold unread for one connection, and its bounds in bytes.
+# Part of the memory that the kernel may hold for a connection that isn't read, and its bounds.
 UNREAD_SHARE = 1 / 4096
 MIN_UNREAD_BYTES, MAX_UNREAD_BYTES = 16 * 1024, 4 * MB
 # Sockets that are kept for the store, other daemons and listeners, and at least this part of them.
@@ -38,6 +38,8 @@
 ENDPOINT_SHARE = 1 / 3
 # Part of the limit that is freed at once when connections have to end.
 STEP_SHARE = 0.02
+# Time in seconds that an idle connection has for the first bytes of a request.
+FIRST_BYTES_S = 0.25
 # Time in seconds without a byte after which a connection may end while memory is short: one whose
 # request has not run, and one whose answer isn't read.
 STALLED_REQUEST_S = 1.0
@@ -79,32 +81,21 @@
 
 @dataclass(frozen=True)
 class Machine:
-    """Memory in bytes, and sockets, that a process may use.
-
-    Its connections have receive buffers of `unread_bytes` if `limits_unread` is true.
-    """
+    """Memory in bytes, and sockets, that a process may use."""
 
     memory_bytes: int
     sockets: int
-    limits_unread: bool
 
     @classmethod
     def from_limits(cls, memory_mb: float = 0, max_fds: int = 0) -> Machine:
-        """Returns the machine with these limits; 0 stands for a default.
-
-        The kernel's receive buffers are left as they are unless the memory is known.
-        """
-        is_known = memory_mb > 0
+        """Returns the machine with these limits; 0 stands for a default."""
+        memory_mb = memory_mb if memory_mb > 0 else DEFAULT_MEMORY_MB
         sockets = (max_fds if max_fds > 0 else DEFAULT_MAX_FDS) - FILE_FDS
-        return cls(
-            int((memory_mb if is_known else DEFAULT_MEMORY_MB) * MB),
-            max(sockets, RESERVED_SOCKETS),
-            is_known,
-        )
+        return cls(int(memory_mb * MB), max(sockets, RESERVED_SOCKETS))
 
     @property
     def unread_bytes(self) -> int:
-        """The bytes that the kernel may hold unread for one connection."""
+        """The bytes that the kernel may hold for a connection that is not read."""
         share = int(self.memory_bytes * UNREAD_SHARE)
         return min(max(share, MIN_UNREAD_BYTES), MAX_UNREAD_BYTES)
 
@@ -229,14 +220,19 @@
                 heapq.heappush(hosts, (total + weighed, host))
         return chosen
 
-    def choose_idlest(self) -> list[Holder]:
+    def choose_idlest(self, now_s: float) -> list[Holder]:
         """Returns holders whose end makes room for further connections, none if all are at work.
 
         They belong to the addresses with most connections; the least work is lost, and of equal
-        ones the longest without progress ends. Readers that stopped come after all others.
+        ones the longest without progress ends. A new connection has some time for its first bytes.
         """
         counts = Counter(holder.caller_host for holder in self._bytes)
-        waiting = [holder for holder in self._bytes if holder.stage < Stage.ANSWER]
+        waiting = [
+            holder
+            for holder in self._bytes
+            if Stage.IDLE < holder.stage < Stage.ANSWER
+            or (holder.stage is Stage.IDLE and now_s - holder.active_since_s > FIRST_BYTES_S)
+        ]
         return heapq.nsmallest(
             max(1, int(self._sockets * STEP_SHARE)),
             waiting,
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -16,6 +16,7 @@
 from lycheepin.steering.holdings import Stage
 from lycheepin.transport.headers import WHITESPACE
 from lycheepin.transport.incoming import BodyRefused, IncomingRequest
+from lycheepin.transport.process_limits import limit_unread_bytes
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 from lycheepin.transport.server import Server
 from lycheepin.transport.shared_buffer import SharedBufferProtocol
@@ -73,7 +74,7 @@
         self._head_bytes = self._head_fields = 0
         self._body_bytes = 0
         self.head_since_s: float | None = None
-        self.idle_since_s = self.active_since_s = self._loop.time()
+        self.idle_since_s = self._active_since_s = self._loop.time()
         self.caller_host = ""
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -105,14 +106,14 @@
     def resume_writing(self) -> None:
         """Called by asyncio when the write buffer has been emptied."""
         self._writable.set()
-        self.active_since_s = self._loop.time()
+        self._active_since_s = self._loop.time()
         self.observe_held()
 
     def data_received(self, data: bytes) -> None:
         """Passes bytes to the parser, or keeps them while reading is paused."""
         if self._closing or self._refused:
             return
-        self.active_since_s = self._loop.time()
+        self._active_since_s = self._loop.time()
         self._unparsed += data
         self._parse_unparsed()
 
@@ -265,7 +266,7 @@
         """Writes bytes to the transport; ignored if it is closing."""
         if self._transport is not None and not self._transport.is_closing():
             if not self.has_unsent_bytes:
-                self.active_since_s = self._loop.time()
+                self._active_since_s = self._loop.time()
             self._transport.write(data)
             self.observe_held()
 
@@ -389,10 +390,10 @@
         unsent_bytes, before = self._transport.get_write_buffer_size(), self._unsent_bytes
         if unsent_bytes != before:
             self._unsent_bytes = unsent_bytes
-            self.active_since_s = now_s
+            self._active_since_s = now_s
             self.observe_held()
         limit_s = self._unread_limit_s or self._server.limits.idle_timeout_s
-        if unsent_bytes and now_s - self.active_since_s > max(limit_s, MIN_UNREAD_LIMIT_S):
+        if unsent_bytes and now_s - self._active_since_s > max(limit_s, MIN_UNREAD_LIMIT_S):
             self._server.on_evicted("unread", self)
             self.abort()
 
@@ -410,6 +411,11 @@
             return Stage.RUNNING
         return Stage.IDLE if self.head_since_s is None else Stage.HEAD
 
+    @property
+    def active_since_s(self) -> float:
+        """When the last byte was sent or received, or when the connection became idle."""
+        return self.idle_since_s if self.stage is Stage.IDLE else self._active_since_s
+
     @property
     def _waits_for_memory(self) -> bool:
         """Whether no more of a body is taken because memory is short."""
@@ -450,6 +456,8 @@
         if self._transport is not None and not self._paused:
             self._paused = True
             self._transport.pause_reading()
+            if self._server.holdings.is_short:
+                limit_unread_bytes(self._transport, self._server.holdings.machine.unread_bytes)
 
     def _start_next(self) -> None:
         """Starts to handle the next queued request, unless one is being handled."""
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -17,7 +17,6 @@
 
 from lycheepin.decoding import parse_count
 from lycheepin.names import Address
-from lycheepin.steering.holdings import Machine
 from lycheepin.transport.headers import WHITESPACE, Headers
 from lycheepin.transport.process_limits import limit_unread_bytes
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
@@ -369,8 +368,13 @@
         if self._head is not None:
             await asyncio.wait((self._head,))
 
-    def put_back(self, parts: list[bytes], high_water_bytes: int) -> None:
-        """Lets `body` yield parts again that it has yielded, and lowers the limit on buffering."""
+    def put_back(self, parts: list[bytes], high_water_bytes: int, unread_bytes: int) -> None:
+        """Lets `body` yield parts again that it has yielded, and lowers the limits on buffering.
+
+        The kernel then holds at most `unread_bytes` unread, unless that is 0.
+        """
+        if unread_bytes and self._transport is not None:
+            limit_unread_bytes(self._transport, unread_bytes)
         self._chunks.extendleft(reversed(parts))
         self._buffered_bytes += sum(len(part) for part in parts)
         self.high_water_bytes = high_water_bytes
@@ -409,12 +413,10 @@
 class ConnectionPool:
     """Idle connections by address and port.
 
-    The machine limits what the kernel holds unread for each connection. A new connection replaces
-    one that is idle unless `has_room` returns true.
+    A new connection replaces one that is idle unless `has_room` returns true.
     """
 
     def __init__(self, local_address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
-        self.machine = Machine.from_limits()
         self.has_room: Callable[[], bool] = lambda: True
         self._open: set[Connection] = set()
         self._opening = 0
@@ -450,7 +452,7 @@
         self._opening += 1
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                transport, protocol = await loop.create_connection(
+                _, protocol = await loop.create_connection(
                     lambda: Connection(self._open),
                     address,
                     port,
@@ -458,7 +460,6 @@
                 )
         finally:
             self._opening -= 1
-        limit_unread_bytes(transport.get_extra_info("socket"), self.machine)
         return protocol
 
     def _close_one(self) -> None:
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -6,6 +6,7 @@
 import re
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import islice
 from typing import Protocol
 
 from lycheepin.transport.headers import Headers
@@ -29,6 +30,8 @@
 # kept twice.
 REQUEST_BYTES = 2048
 HEADER_BYTES = 300
+# Headers that a request whose body is refused keeps.
+MAX_REFUSED_HEADERS = 32
 # How often a whole body is in memory while it is sent on.
 BODY_COPIES = 2
 _NO_BODY_STATUSES = (204, 304)
@@ -181,10 +184,14 @@
         self._wake_reader()
 
     def refuse_body(self) -> None:
-        """Ends the wait for the body with BodyRefused, and forgets what has arrived of it."""
+        """Ends the wait for the body with BodyRefused, and forgets what has arrived.
+
+        The refusal may need some of the headers.
+        """
         self.body_refused = True
-        self._content.clear()
-        self.held_bytes = REQUEST_BYTES
+        needed = dict(islice(self.headers_by_name.items(), MAX_REFUSED_HEADERS))
+        self.release()
+        self.headers_by_name = needed
         self._wake_reader()
 
     def _wake_reader(self) -> None:
--- a/lycheepin/transport/listener.py
+++ b/lycheepin/transport/listener.py
@@ -16,7 +16,7 @@
 from lycheepin.steering.routes import CallerLimits
 from lycheepin.transport.caller_connection import CallerConnection
 from lycheepin.transport.incoming import REASONS
-from lycheepin.transport.process_limits import limit_unread_bytes, read_descriptor_limit
+from lycheepin.transport.process_limits import read_descriptor_limit
 from lycheepin.transport.server import Handler
 
 __all__ = ["Listener"]
@@ -68,12 +68,19 @@
     async def listen(self, host: str, port: int) -> None:
         """Starts to accept connections; raises OSError if the address is in use."""
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
-        await self.listen_on(socket.create_server((host, port), family=family, backlog=BACKLOG))
+        # asyncio sets TCP_NODELAY only on sockets created with IPPROTO_TCP.
+        listening = socket.socket(family, socket.SOCK_STREAM, socket.IPPROTO_TCP)
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening.bind((host, port))
+            await self.listen_on(listening)
+        except OSError:
+            listening.close()
+            raise
 
     async def listen_on(self, listening: socket.socket) -> None:
         """Starts to accept connections on a socket that is bound already."""
         listening.setblocking(False)
-        limit_unread_bytes(listening, self.holdings.machine)
         listening.listen(BACKLOG)
         self._listening.append(listening)
         asyncio.get_running_loop().add_reader(listening, self._accept, listening)
@@ -132,7 +139,9 @@
         return not self._paused
 
     def resume_accepting(self) -> None:
-        """Accepts connections again at the sockets where this was paused."""
+        """Accepts connections again where this was paused, if there are sockets for them."""
+        if not self.holdings.admits_connection:
+            return
         for listening in self._paused:
             asyncio.get_running_loop().add_reader(listening, self._accept, listening)
         self._paused.clear()
@@ -140,7 +149,7 @@
     def _end_idlest(self) -> bool:
         """Ends connections that keep sockets for nothing; returns whether there are any."""
         now_s = asyncio.get_running_loop().time()
-        chosen = self.holdings.choose_idlest() or self.holdings.choose_stopped_readers(now_s)
+        chosen = self.holdings.choose_idlest(now_s) or self.holdings.choose_stopped_readers(now_s)
         for holder in chosen:
             holder.evict("sockets")
         return bool(chosen)
@@ -181,6 +190,8 @@
             for connection in list(self.connections):
                 self._check_connection(connection, now_s)
             self._end_stalled(now_s)
+            if not (self.is_accepting or self.holdings.admits_connection):
+                self._end_idlest()
             self.resume_accepting()
 
     def _check_connection(self, connection: CallerConnection, now_s: float) -> None:
--- a/lycheepin/transport/process_limits.py
+++ b/lycheepin/transport/process_limits.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import resource
 import socket
 
-from lycheepin.steering.holdings import Machine
-
 __all__ = ["limit_unread_bytes", "read_descriptor_limit"]
 
 
@@ -16,11 +15,8 @@
     return resource.getrlimit(resource.RLIMIT_NOFILE)[0]
 
 
-def limit_unread_bytes(connection: socket.socket, machine: Machine) -> None:
-    """Limits what a connection, or each one that a listening socket accepts, may keep unread.
-
-    Bytes that have arrived and wait in the kernel count as memory of the process.
-    """
-    if machine.limits_unread:
-        with contextlib.suppress(OSError):  # the kernel's own limit holds then
-            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, machine.unread_bytes)
+def limit_unread_bytes(transport: asyncio.Transport, unread_bytes: int) -> None:
+    """Limits what the kernel holds for a connection that is not read; it counts as memory."""
+    connection = transport.get_extra_info("socket")
+    with contextlib.suppress(OSError):  # the kernel's own limit holds then
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes)
--- a/lycheepin/transport/shared_buffer.py
+++ b/lycheepin/transport/shared_buffer.py
@@ -7,7 +7,7 @@
 __all__ = ["READ_BYTES", "SharedBufferProtocol"]
 
 # Bytes read from a connection at a time.
-READ_BYTES = 32 * 1024
+READ_BYTES = 64 * 1024
 _buffer = bytearray(READ_BYTES)
 
 
