`explain` knows contention and what is left of a quota

The state has what a daemon has left of the quotas that were asked for; a request without a token is explained as refused 429 with its Retry-After. QuotaLedger.find_standings computes that on copies of its buckets. Tests: the comparison of explanations with decisions now has workspaces and limited shares, and fails without the records; a quota is explained sixty times and stays as it is.

--- a/lycheepin/cli/explaining.py
+++ b/lycheepin/cli/explaining.py
@@ -118,7 +118,7 @@
     )
     try:
         explanation = explain_request(
-            state.build_table(), state.build_dispatcher(), request, state.taken_at_s
+            state.build_table(), state.build_dispatcher(), request, state.taken_at_s, state.quotas
         )
     except (ValueError, KeyError, ArithmeticError) as error:
         return _fail(f"state of {state.daemon}: {error!r}")
@@ -168,7 +168,11 @@
     """Returns the quota of a request's workspace as text."""
     if not explanation.quota_per_s:
         return "no quota"
-    return f"quota {explanation.quota_per_s:g} a second and {explanation.quota_burst:g} beyond"
+    left = explanation.quota_left
+    return (
+        f"quota {explanation.quota_per_s:g} a second and {explanation.quota_burst:g} beyond, of"
+        f" which this daemon has {'an unknown part' if left is None else f'{left:.1f}'} left"
+    )
 
 
 def _format_refusal(refusal: RequestRefusal) -> str:
--- a/lycheepin/gateway/explaining.py
+++ b/lycheepin/gateway/explaining.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from lycheepin.gateway.mirror import StoreReplica
+from lycheepin.gateway.quota_exchange import QuotaExchange, read_clock_s
 from lycheepin.names import DaemonName
 from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.fleet import EndpointRegistry
@@ -29,11 +30,19 @@
     registry: EndpointRegistry,
     dispatcher: Dispatcher,
     replica: StoreReplica,
+    quotas: QuotaExchange,
 ) -> None:
     """Answers with the state, and with the workspace of the key that the call carries, if any."""
     now_s = asyncio.get_running_loop().time()
     state = SteeringState.capture(
-        daemon, table, registry, dispatcher, now_s, time.time(), replica.age_s(now_s)
+        daemon,
+        table,
+        registry,
+        dispatcher,
+        now_s,
+        time.time(),
+        replica.age_s(now_s),
+        quotas.ledger.find_standings(read_clock_s()),
     )
     workspace = None
     if table is not None and table.workspaces is not None:
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -282,6 +282,7 @@
                 self.registry,
                 self._dispatcher,
                 self.replica,
+                self.quotas,
             )
         else:
             self._platform.answer_call(self, request)
--- a/lycheepin/steering/contention.py
+++ b/lycheepin/steering/contention.py
@@ -16,14 +16,14 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
-from math import inf
+from math import inf, isfinite
 from typing import NamedTuple
 
 from lycheepin.names import RegionName, ServiceName, WorkspaceName
 from lycheepin.steering.choices import AttemptRequirements, Claim, RefusalRule
 from lycheepin.steering.workspaces import Workspace
 
-__all__ = ["Contention", "find_level"]
+__all__ = ["Contention", "ContentionRecord", "find_level"]
 
 # Length in seconds of the window in which requests are counted, and time between two computations
 # of shares.
@@ -122,11 +122,11 @@
         self.workspaces: dict[WorkspaceName | None, _WorkspaceCount] = {}
         self.priorities: dict[int, _Count] = {}
         self.total = _Count()
-        self._requests: deque[_Counted] = deque()
+        self.requests: deque[_Counted] = deque()
 
     def add(self, request: _Counted, rate_per_s: float) -> None:
         """Adds a request of a workspace with this quota."""
-        self._requests.append(request)
+        self.requests.append(request)
         if request.workspace not in self.workspaces:
             self.workspaces[request.workspace] = _WorkspaceCount()
         if request.priority not in self.priorities:
@@ -136,8 +136,8 @@
 
     def drop_until(self, time_s: float) -> None:
         """Drops the requests that were counted at a time or before."""
-        while self._requests and self._requests[0].time_s <= time_s:
-            request = self._requests.popleft()
+        while self.requests and self.requests[0].time_s <= time_s:
+            request = self.requests.popleft()
             self._change(request, -1)
             if not self.workspaces[request.workspace].demand:
                 del self.workspaces[request.workspace]
@@ -215,13 +215,49 @@
     return kept
 
 
+@dataclass(frozen=True)
+class ContentionRecord:
+    """What is counted for one group of endpoints, as a value.
+
+    `rates_per_s` are the quotas of the workspaces. The shares and the time of their computation
+    are None where they are not limited, or were never computed.
+    """
+
+    service: ServiceName
+    region: RegionName
+    requests: tuple[_Counted, ...]
+    rates_per_s: tuple[tuple[WorkspaceName | None, float], ...]
+    level: float | None
+    shares: _Shares
+    shared_at_s: float | None
+
+
 class _Window:
     """The requests for one group of endpoints in the last WINDOW_S seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, record: ContentionRecord | None = None) -> None:
         self.counts = _Counts()
         self.shares = _Shares()
         self._shared_at_s = -inf
+        if record is not None:
+            rates_per_s = dict(record.rates_per_s)
+            for request in record.requests:
+                self.counts.add(request, rates_per_s.get(request.workspace, 0.0))
+            level = inf if record.level is None else record.level
+            self.shares = replace(record.shares, level=level)
+            self._shared_at_s = -inf if record.shared_at_s is None else record.shared_at_s
+
+    def build_record(self, group: _Group) -> ContentionRecord:
+        """Returns what is counted for a group."""
+        shares = self.shares
+        return ContentionRecord(
+            *group,
+            tuple(self.counts.requests),
+            tuple((name, count.rate_per_s) for name, count in self.counts.workspaces.items()),
+            shares.level if isfinite(shares.level) else None,
+            replace(shares, level=0.0, kept_by_priority=dict(shares.kept_by_priority)),
+            self._shared_at_s if isfinite(self._shared_at_s) else None,
+        )
 
     def advance(self, now_s: float) -> None:
         """Drops old requests; updates the shares where they are older than INTERVAL_S."""
@@ -237,8 +273,13 @@
     The memory is bounded by the number of requests in a window.
     """
 
-    def __init__(self) -> None:
-        self._windows: dict[_Group, _Window] = {}
+    def __init__(self, records: Iterable[ContentionRecord] = ()) -> None:
+        self._windows = {(each.service, each.region): _Window(each) for each in records}
+
+    @property
+    def records(self) -> tuple[ContentionRecord, ...]:
+        """What is counted, by group."""
+        return tuple(window.build_record(group) for group, window in self._windows.items())
 
     def find_claim(
         self, requirements: AttemptRequirements, region: RegionName, now_s: float
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 from collections.abc import Iterable, Mapping, Sequence
-from copy import deepcopy
 from dataclasses import dataclass, replace
 from types import MappingProxyType
 from typing import NamedTuple
@@ -28,7 +27,7 @@
     SelectedEndpoint,
     WeighedEndpoint,
 )
-from lycheepin.steering.contention import Contention
+from lycheepin.steering.contention import Contention, ContentionRecord
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
@@ -76,6 +75,8 @@
     rate_limits: dict[EndpointId, LimitRecord]
     max_shift: float | None
     region_shares: dict[ServiceName, SharesRecord]
+    contention: tuple[ContentionRecord, ...]
+    return_times_s: dict[EndpointId, dict[int, float]]
 
 
 class _Weighed(NamedTuple):
@@ -99,6 +100,8 @@
         rate_limits: RateLimits,
         region_shares: RegionShares | None = None,
         cold_starts_s: Mapping[EndpointId, Iterable[float]] = MappingProxyType({}),
+        contention: Contention | None = None,
+        return_times: ReturnTimes | None = None,
     ) -> None:
         self._registry = registry
         self._carriers = carriers
@@ -106,8 +109,8 @@
         self._placement = placement
         self._rate_limits = rate_limits
         self._cold_starts = ColdStartLimiter(limits, carriers, cold_starts_s)
-        self._contention = Contention()
-        self._return_times = ReturnTimes()
+        self._contention = contention or Contention()
+        self._return_times = return_times or ReturnTimes()
 
     @classmethod
     def from_counts(
@@ -127,6 +130,8 @@
             RateLimits(own, carriers, counts.rate_limits),
             RegionShares(region, counts.max_shift, counts.region_shares),
             counts.cold_starts_s,
+            Contention(counts.contention),
+            ReturnTimes(counts.return_times_s),
         )
 
     @property
@@ -143,6 +148,8 @@
             self._rate_limits.records,
             self._region_shares.max_shift,
             self._region_shares.records,
+            self._contention.records,
+            self._return_times.places_s,
         )
 
     def explain(
@@ -154,8 +161,6 @@
         """
         counts = self.copy_counts(now_s)
         copy = self.from_counts(self._carriers.own, self._registry, self.own_region, counts)
-        copy._contention = deepcopy(self._contention)
-        copy._return_times = deepcopy(self._return_times)
         ordered = copy._placement.order_endpoints(requirements.service, requirements.object_key)
         candidates = tuple(copy._describe(each, requirements, now_s) for each in ordered)
         return copy.choose_endpoint(requirements, spec, now_s), candidates
--- a/lycheepin/steering/explaining.py
+++ b/lycheepin/steering/explaining.py
@@ -6,13 +6,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass, replace
+from types import MappingProxyType
 
 from lycheepin.errors import ErrorKind, Fault
 from lycheepin.names import EndpointId, RegionName, ServiceName, WorkspaceName
 from lycheepin.steering.choices import Candidate, Refusal
 from lycheepin.steering.dispatch import NO_REGION_RETRY_AFTER_S, Dispatcher
 from lycheepin.steering.progress import RequestProgress
+from lycheepin.steering.quota_bucket import ROUNDING
+from lycheepin.steering.quotas import QuotaRefusal
 from lycheepin.steering.routes import Route, RoutingTable
 from lycheepin.steering.workspaces import Workspace
 
@@ -81,7 +85,8 @@
 class RequestExplanation:
     """The rules for a request, and where it would go; the rules are None before they are known.
 
-    `quota_per_s` is the limit of the workspace, 0 for none. Times are in seconds.
+    `quota_per_s` is the limit of the workspace, 0 for none, and `quota_left` how many requests the
+    daemon may let run now, None if none has come lately. Times are in seconds.
     """
 
     version: int | None
@@ -94,14 +99,22 @@
     time_left_s: float | None = None
     quota_per_s: float = 0.0
     quota_burst: float = 0.0
+    quota_left: float | None = None
     refusal: RequestRefusal | None = None
     services: tuple[ServiceExplanation, ...] = ()
 
 
 def explain_request(
-    table: RoutingTable | None, dispatcher: Dispatcher, request: RequestDescription, now_s: float
+    table: RoutingTable | None,
+    dispatcher: Dispatcher,
+    request: RequestDescription,
+    now_s: float,
+    quotas: Mapping[WorkspaceName, QuotaRefusal] = MappingProxyType({}),
 ) -> RequestExplanation:
-    """Returns where a request that arrives now would go; the state stays as it is."""
+    """Returns where a request that arrives now would go; the state stays as it is.
+
+    `quotas` has what is left for workspaces, as the refusal that a request without a token gets.
+    """
     if table is None:
         refusal = RequestRefusal.from_kind(ErrorKind.NO_CONFIGURATION)
         return RequestExplanation(None, refusal=refusal)
@@ -116,7 +129,8 @@
         if workspace is None and not route.is_public:
             refusal = RequestRefusal.from_kind(ErrorKind.UNKNOWN_KEY)
             return RequestExplanation(table.version, route.name, route.kind.value, refusal=refusal)
-    return _explain_routed(table, dispatcher, request, route, workspace, now_s)
+    quota = quotas.get(workspace.name) if workspace is not None else None
+    return _explain_routed(table, dispatcher, request, route, workspace, quota, now_s)
 
 
 def _explain_routed(
@@ -125,6 +139,7 @@
     request: RequestDescription,
     route: Route,
     workspace: Workspace | None,
+    quota: QuotaRefusal | None,
     now_s: float,
 ) -> RequestExplanation:
     """Returns where a request of a known route and caller would go."""
@@ -150,6 +165,8 @@
     services: tuple[ServiceExplanation, ...] = ()
     if regions is None:
         refusal = RequestRefusal.from_kind(ErrorKind.NO_REGION, NO_REGION_RETRY_AFTER_S)
+    elif quota is not None and quota.tokens < 1.0 - ROUNDING:
+        refusal = RequestRefusal.from_kind(ErrorKind.QUOTA_SPENT, quota.retry_after_s)
     else:
         total = sum(share.weight for share in route.shares)
         services = tuple(
@@ -170,6 +187,7 @@
         time_left_s,
         workspace.rate_per_s if workspace is not None else 0.0,
         workspace.burst if workspace is not None else 0.0,
+        quota.tokens if quota is not None else None,
         refusal,
         services,
     )
--- a/lycheepin/steering/quotas.py
+++ b/lycheepin/steering/quotas.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from copy import copy
 from dataclasses import dataclass
 from math import ceil, isfinite
 from zlib import crc32
@@ -248,6 +249,18 @@
         """Returns how many tokens of a workspace with a limit can be spent here."""
         return self._find_bucket(name, now_s).holdings
 
+    def find_standings(self, now_s: float) -> dict[WorkspaceName, QuotaRefusal]:
+        """Returns what is left of the quotas of workspaces that have asked here; changes nothing.
+
+        Each comes as the refusal that a request without a token would get.
+        """
+        standings = {}
+        for name in self._buckets.keys() & self._plans.keys():
+            bucket = copy(self._buckets[name])
+            self._refresh(name, bucket, now_s)
+            standings[name] = self._explain_refusal(name, bucket, now_s)
+        return standings
+
     def settle(self, spend: Spend, has_run: bool, now_s: float) -> None:
         """Records whether the request of a spent token may have run; gives the token back if not.
 
--- a/lycheepin/steering/return_times.py
+++ b/lycheepin/steering/return_times.py
@@ -6,6 +6,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from lycheepin.names import EndpointId
 
 __all__ = ["MAX_RETRY_AFTER_S", "MIN_RETRY_AFTER_S", "ReturnTimes", "spread_retry"]
@@ -26,8 +29,15 @@
 class ReturnTimes:
     """The next places in the room that comes at the endpoints; times are monotonic seconds."""
 
-    def __init__(self) -> None:
-        self._next_s: dict[EndpointId, dict[int, float]] = {}
+    def __init__(
+        self, places_s: Mapping[EndpointId, Mapping[int, float]] = MappingProxyType({})
+    ) -> None:
+        self._next_s = {name: dict(next_s) for name, next_s in places_s.items()}
+
+    @property
+    def places_s(self) -> dict[EndpointId, dict[int, float]]:
+        """The time of the next place by endpoint and priority."""
+        return {name: dict(next_s) for name, next_s in self._next_s.items()}
 
     def book(
         self,
--- a/lycheepin/steering/saved_state.py
+++ b/lycheepin/steering/saved_state.py
@@ -12,10 +12,11 @@
 
 import msgspec
 
-from lycheepin.names import DaemonName, RegionName, ServiceName, ZoneName
+from lycheepin.names import DaemonName, RegionName, ServiceName, WorkspaceName, ZoneName
 from lycheepin.steering.dispatch import Dispatcher, DispatcherCounts
 from lycheepin.steering.endpoint import Endpoint, EndpointRecord
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.quotas import QuotaRefusal
 from lycheepin.steering.routes import CallerLimits, Route, RoutingTable, ServiceSpec
 from lycheepin.steering.workspaces import Workspace, WorkspaceKeys
 
@@ -66,7 +67,8 @@
 
     `taken_at_s` is its monotonic time in seconds, to which all times in it refer, and `unix_s` the
     time of day. `store_age_s` is the age of what it knows of the store, None before it knows any.
-    `version` is None before the first configuration.
+    `version` is None before the first configuration. `quotas` has what is left for workspaces that
+    have asked lately, as the refusal without a token.
     """
 
     form: int
@@ -83,6 +85,7 @@
     evacuated_zones: frozenset[ZoneName]
     mean_processing_s: dict[ServiceName, float]
     counts: DispatcherCounts
+    quotas: dict[WorkspaceName, QuotaRefusal]
 
     @classmethod
     def capture(
@@ -94,6 +97,7 @@
         now_s: float,
         unix_s: float,
         store_age_s: float,
+        quotas: dict[WorkspaceName, QuotaRefusal],
     ) -> SteeringState:
         """Returns the state of a daemon as it is now."""
         by_host = table.by_host.values() if table is not None else ()
@@ -113,6 +117,7 @@
             frozenset(registry.evacuated_zones),
             registry.mean_processing_times_s(),
             dispatcher.copy_counts(now_s),
+            quotas,
         )
 
     @classmethod
--- a/tests/steering/test_explaining.py
+++ b/tests/steering/test_explaining.py
@@ -15,6 +15,8 @@
 from lycheepin.steering.explaining import RequestDescription, RequestExplanation, explain_request
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.placement import Placement
+from lycheepin.steering.quota_shares import QuotaShares, QuotaTerms
+from lycheepin.steering.quotas import QuotaLedger, QuotaRefusal
 from lycheepin.steering.rate_limits import RateLimits
 from lycheepin.steering.region_shares import RegionShares
 from lycheepin.steering.routes import (
@@ -44,6 +46,8 @@
     return dataclasses.replace(route, **changes)  # type: ignore[arg-type]
 
 
+ALPHA = Workspace(WorkspaceName("alpha"), 0, 5.0, 10.0)
+OMEGA = Workspace(WorkspaceName("omega"), 0, 50.0, 10.0)
 TABLE = RoutingTable.from_routes(
     5,
     (
@@ -56,7 +60,7 @@
     CallerLimits(),
     WorkspaceKeys.from_keys(
         (
-            (Workspace(WorkspaceName("alpha"), 0, 5.0, 10.0), ("key-a",)),
+            (ALPHA, ("key-a",)),
             (Workspace(WorkspaceName("north"), allowed_regions=frozenset({NORTH})), ("key-n",)),
         )
     ),
@@ -85,7 +89,9 @@
 
     def capture(self, now_s: float) -> SteeringState:
         """Returns the daemon's state."""
-        return SteeringState.capture(OWN, TABLE, self.registry, self.dispatcher, now_s, 1e9, 0.5)
+        return SteeringState.capture(
+            OWN, TABLE, self.registry, self.dispatcher, now_s, 1e9, 0.5, {}
+        )
 
     def step(self, source: random.Random, now_s: float) -> str:
         """Sends a request or ends one, and returns what was decided."""
@@ -95,7 +101,11 @@
                 self.registry.observe_answer(endpoint, now_s, source.random())
                 endpoint.observe_load(now_s, source.randrange(6), source.randrange(3))
         requirements = build_requirements(
-            str(source.randrange(9)), target_at_s=now_s + 0.8, deadline_s=now_s + 2.0
+            str(source.randrange(9)),
+            0,
+            target_at_s=now_s + 0.8,
+            deadline_s=now_s + 2.0,
+            workspace=source.choice((ALPHA, ALPHA, ALPHA, OMEGA)),
         )
         choice = self.dispatcher.choose_endpoint(requirements, SPEC, now_s)
         if isinstance(choice, Refusal):
@@ -145,7 +155,11 @@
                 ).services
                 self.assertEqual(live, copied)
                 requirements = build_requirements(
-                    request.object_key, 0, target_at_s=now_s + 0.8, deadline_s=now_s + 1.5
+                    request.object_key,
+                    0,
+                    target_at_s=now_s + 0.8,
+                    deadline_s=now_s + 1.5,
+                    workspace=ALPHA,
                 )
                 choice = daemon.dispatcher.choose_endpoint(requirements, SPEC, now_s)
                 if isinstance(choice, Refusal):
@@ -156,6 +170,9 @@
                 else:
                     self.assertEqual(live.endpoint, choice.endpoint.record.id)
                 daemon.step(source, now_s)
+            if not cold:
+                held = [each for each in saved.counts.contention if each.level is not None]
+                self.assertGreater(len(held), 0, "no shares are limited")
 
     def _explain(self, request: RequestDescription) -> RequestExplanation:
         return explain_request(TABLE, Daemon().dispatcher, request, 1.0)
@@ -187,6 +204,30 @@
         assert split.services[1].refusal is not None
         self.assertEqual(split.services[1].refusal.kind, ErrorKind.NO_CAPACITY)
 
+    def test_quota_is_explained_and_left_as_it_is(self) -> None:
+        shares = QuotaShares(OWN, lambda: (OWN,), 0.0)
+        ledger = QuotaLedger(shares, QuotaTerms(), 0.0)
+        ledger.apply_workspaces((ALPHA,), 0.0)
+        self.assertEqual(ledger.find_standings(0.0), {})
+        for tenths in range(40):
+            ledger.count_tokens(ALPHA.name, tenths / 10)
+        left = []
+        for _ in range(60):
+            is_spent = isinstance(ledger.try_spend(ALPHA.name, 4.0), QuotaRefusal)
+            first, second = ledger.find_standings(4.0), ledger.find_standings(4.0)
+            self.assertEqual(first, second)
+            explanation = explain_request(TABLE, Daemon().dispatcher, ask(), 1.0, first)
+            left.append(explanation.quota_left or 0.0)
+            self.assertEqual(explanation.quota_left, ledger.count_tokens(ALPHA.name, 4.0))
+            if is_spent:
+                break
+        assert explanation.refusal is not None
+        self.assertEqual(
+            (explanation.refusal.kind, explanation.refusal.status), (ErrorKind.QUOTA_SPENT, 429)
+        )
+        self.assertGreater(explanation.refusal.retry_after_s or 0.0, 0.0)
+        self.assertGreater(left[0], left[-1])
+
     def test_obstacles_of_candidates_are_named(self) -> None:
         daemon = Daemon()
         by_name = {endpoint.record.id: endpoint for endpoint in daemon.registry.all()}
@@ -241,7 +282,7 @@
     def test_daemon_without_a_configuration_has_a_state(self) -> None:
         daemon = Daemon()
         state = SteeringState.capture(
-            OWN, None, EndpointRegistry(), daemon.dispatcher, 1.0, 1e9, float("inf")
+            OWN, None, EndpointRegistry(), daemon.dispatcher, 1.0, 1e9, float("inf"), {}
         )
         saved = SteeringState.decode(state.encode())
         self.assertEqual((saved.build_table(), saved.store_age_s), (None, None))
