--- a/lycheepin/steering/overflow.py
+++ b/lycheepin/steering/overflow.py
@@ -51,7 +51,7 @@
     predict_answer_s: Callable[[Endpoint, float], float],
     now_s: float,
 ) -> bool:
-    """Returns whether a late answer of a preferred endpoint is expected well before the deadline."""
+    """Returns whether a late answer is expected well before the deadline."""
     return any(
         endpoint.reports_slowness
         and endpoint.load(now_s) + 1 <= MAX_QUEUE * endpoint.record.slots
--- a/lycheepin/steering/quotas.py
+++ b/lycheepin/steering/quotas.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable, Sequence
+from copy import copy
 from dataclasses import dataclass
 from math import ceil, isfinite
 from zlib import crc32
@@ -61,9 +62,11 @@
 MAX_FILLED = 500
 # Smallest loan in tokens.
 MIN_LOAN = 0.02
-# Most wants and returns of a message; loans that are not returned end by themselves.
-MAX_WANTS = 40
-MAX_RETURNS = 40
+# Most asks at once, and most wants and returns of one, so that it fits into a packet; what is left
+# out comes later, and loans that are not returned end by themselves.
+MAX_ASKS = 64
+MAX_WANTS = 30
+MAX_RETURNS = 16
 # Time in seconds after a refusal in which a loan comes, and the longest that a caller is told.
 LOAN_DELAY_S = 0.3
 MAX_RETRY_AFTER_S = 5.0
@@ -246,6 +249,18 @@
         """Returns how many tokens of a workspace with a limit can be spent here."""
         return self._find_bucket(name, now_s).holdings
 
+    def find_standings(self, now_s: float) -> dict[WorkspaceName, QuotaRefusal]:
+        """Returns what is left of the quotas of workspaces that have asked here; changes nothing.
+
+        Each comes as the refusal that a request without a token would get.
+        """
+        standings = {}
+        for name in self._buckets.keys() & self._plans.keys():
+            bucket = copy(self._buckets[name])
+            self._refresh(name, bucket, now_s)
+            standings[name] = self._explain_refusal(name, bucket, now_s)
+        return standings
+
     def settle(self, spend: Spend, has_run: bool, now_s: float) -> None:
         """Records whether the request of a spent token may have run; gives the token back if not.
 
@@ -273,13 +288,15 @@
         returns: dict[DaemonName, list[Return]] = {}
         for name in self._list_in_demand(now_s):
             for lender, want in self._plan_wants(name, now_s):
+                if len(wants) == MAX_ASKS and lender not in wants:
+                    continue
                 if len(listed := wants.setdefault(lender, [])) < MAX_WANTS:
                     listed.append(want)
             for loan in self._buckets[name].give_back(now_s):
                 if len(ended := returns.setdefault(loan.lender, [])) < MAX_RETURNS:
                     ended.append(Return(loan.number, identify_by_number(name), loan.left))
         asks = []
-        for lender in wants.keys() | returns.keys():
+        for lender in dict.fromkeys((*wants, *returns)):
             self._last_number += 1
             ask = Ask(
                 self._last_number,
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -17,7 +17,6 @@
 
 from lycheepin.decoding import parse_count
 from lycheepin.names import Address
-from lycheepin.steering.holdings import Machine
 from lycheepin.transport.headers import WHITESPACE, Headers
 from lycheepin.transport.process_limits import limit_unread_bytes
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
@@ -39,9 +38,11 @@
 # First byte of an answer; the parser also takes start lines of other protocols.
 FIRST_BYTES = (b"H", b"")
 SWITCHING_PROTOCOLS = 101
-# Time in seconds for which a reset may follow the end of an answer without a length to a request
-# that was not sent in full: an endpoint that has closed the connection resets it then.
+# Time in seconds for which a reset may follow the end of an answer without a length, if the request
+# is longer than LONG_REQUEST_BYTES or was not sent in full: an endpoint that ends without having
+# read it resets the connection.
 RESET_WAIT_S = 0.25
+LONG_REQUEST_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_PER_TARGET = 64
 IDLE_LIMIT_S = 4.0
@@ -109,6 +110,7 @@
         self._keep_alive = True
         self._failure: str | None = None
         self._used = False
+        self._sent_bytes = 0
         self._extra_message = False
         self._no_body = False
         self._accept_head: Callable[[AnswerHead], bool] = _accept_any
@@ -134,14 +136,15 @@
     def eof_received(self) -> bool:
         """Called by asyncio; the end of the stream ends an answer without a length.
 
-        Returns whether the connection is kept: until RESET_WAIT_S later, if the request was not
-        sent in full.
+        Returns whether the connection is kept: until RESET_WAIT_S later, if the endpoint may not
+        have read the whole request.
         """
         head_arrived = self._head is not None and self._head.done() and not self._head.exception()
         if not self._ends_at_close or not head_arrived or self._complete:
             return False
         assert self._transport is not None
-        if self.sending_body or self._transport.get_write_buffer_size() > 0:
+        is_long = self.sending_body or self._sent_bytes > LONG_REQUEST_BYTES
+        if is_long or self._transport.get_write_buffer_size() > 0:
             asyncio.get_running_loop().call_later(RESET_WAIT_S, self._end_unless_reset)
             return True
         self._end_with_stream()
@@ -331,12 +334,14 @@
         self.sent = True
         self.answer_begun = False
         self.sending_body = False
+        self._sent_bytes = len(head)
         self._transport.write(head)
 
     async def send_body(self, data: bytes) -> None:
         """Sends a part of the body and waits while the write buffer is full."""
         if self._transport is None or self._failure is not None:
             raise BrokenAnswer(self._failure or "connection closed")
+        self._sent_bytes += len(data)
         self._transport.write(data)
         await self._writable.wait()
 
@@ -363,8 +368,13 @@
         if self._head is not None:
             await asyncio.wait((self._head,))
 
-    def put_back(self, parts: list[bytes], high_water_bytes: int) -> None:
-        """Lets `body` yield parts again that it has yielded, and lowers the limit on buffering."""
+    def put_back(self, parts: list[bytes], high_water_bytes: int, unread_bytes: int) -> None:
+        """Lets `body` yield parts again that it has yielded, and lowers the limits on buffering.
+
+        The kernel then holds at most `unread_bytes` unread, unless that is 0.
+        """
+        if unread_bytes and self._transport is not None:
+            limit_unread_bytes(self._transport, unread_bytes)
         self._chunks.extendleft(reversed(parts))
         self._buffered_bytes += sum(len(part) for part in parts)
         self.high_water_bytes = high_water_bytes
@@ -403,12 +413,10 @@
 class ConnectionPool:
     """Idle connections by address and port.
 
-    The machine limits what the kernel holds unread for each connection. A new connection replaces
-    one that is idle unless `has_room` returns true.
+    A new connection replaces one that is idle unless `has_room` returns true.
     """
 
     def __init__(self, local_address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
-        self.machine = Machine.from_limits()
         self.has_room: Callable[[], bool] = lambda: True
         self._open: set[Connection] = set()
         self._opening = 0
@@ -444,7 +452,7 @@
         self._opening += 1
         try:
             async with asyncio.timeout(self._connect_timeout_s):
-                transport, protocol = await loop.create_connection(
+                _, protocol = await loop.create_connection(
                     lambda: Connection(self._open),
                     address,
                     port,
@@ -452,7 +460,6 @@
                 )
         finally:
             self._opening -= 1
-        limit_unread_bytes(transport.get_extra_info("socket"), self.machine)
         return protocol
 
     def _close_one(self) -> None:
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -6,6 +6,7 @@
 import re
 from dataclasses import dataclass
 from http import HTTPStatus
+from itertools import islice
 from typing import Protocol
 
 from lycheepin.transport.headers import Headers
@@ -29,6 +30,8 @@
 # kept twice.
 REQUEST_BYTES = 2048
 HEADER_BYTES = 300
+# Headers that a request whose body is refused keeps.
+MAX_REFUSED_HEADERS = 32
 # How often a whole body is in memory while it is sent on.
 BODY_COPIES = 2
 _NO_BODY_STATUSES = (204, 304)
@@ -89,7 +92,8 @@
 class IncomingRequest:
     """A request from a caller, whose body may still be arriving, and its answer.
 
-    `awaits_body` is true while the request waits for its body and has not been sent anywhere.
+    `awaits_body` is true before the request is handled, and while it waits for its body and has not
+    been sent anywhere; `body_refused` once it has been told that its body is not read.
     `held_bytes` is the memory that it takes. Its caller is cut off when it reads nothing of the
     answer for `unread_limit_s`, if that is set.
     """
@@ -98,9 +102,9 @@
         self._connection = connection
         self._content = bytearray()
         self._body_waiter: asyncio.Future[None] | None = None
-        self._body_refused = False
+        self.body_refused = False
         self.held_bytes = REQUEST_BYTES
-        self.awaits_body = False
+        self.awaits_body = True
         self.unread_limit_s: float | None = None
         self.arrival_s = arrival_s
         self.method = b"GET"
@@ -180,10 +184,14 @@
         self._wake_reader()
 
     def refuse_body(self) -> None:
-        """Ends the wait for the body with BodyRefused, and forgets what has arrived of it."""
-        self._body_refused = True
-        self._content.clear()
-        self.held_bytes = REQUEST_BYTES
+        """Ends the wait for the body with BodyRefused, and forgets what has arrived.
+
+        The refusal may need some of the headers.
+        """
+        self.body_refused = True
+        needed = dict(islice(self.headers_by_name.items(), MAX_REFUSED_HEADERS))
+        self.release()
+        self.headers_by_name = needed
         self._wake_reader()
 
     def _wake_reader(self) -> None:
@@ -198,7 +206,7 @@
         BodyRefused if the body is refused.
         """
         while not self._content:
-            if self._body_refused:
+            if self.body_refused:
                 raise BodyRefused
             if self.body_complete:
                 return b""
