--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -60,6 +60,8 @@
 RANK_PENALTY = 0.5
 # Retry-After, in seconds, of requests that no region may serve until the configuration changes.
 NO_REGION_RETRY_AFTER_S = 5.0
+# Reasons for which an attempt may overflow.
+OVERFLOW_RULES = (RefusalRule.FULL, RefusalRule.LATE, RefusalRule.LATE_RETRY)
 # Number of an object's endpoints among which an overflow finds one with many free slots.
 MAX_OVERFLOW_RANK = 16
 # Part of the expected time to an answer that has to be left to a request's deadline: some answers
@@ -322,7 +324,7 @@
         service = requirements.service
         if (
             not isinstance(choice, Refusal)
-            or choice.rule not in (RefusalRule.FULL, RefusalRule.LATE)
+            or choice.rule not in OVERFLOW_RULES
             or not self._overflow.allows(service, now_s)
         ):
             return None
