--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -32,7 +32,7 @@
 from lycheepin.steering.contention import Contention, ContentionRecord
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
-from lycheepin.steering.overflow import Overflow, choose_spare, may_wait
+from lycheepin.steering.overflow import Overflow, find_queue, find_spare
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import LimitRecord, RateLimits
 from lycheepin.steering.region_shares import RegionShares, SharesRecord
@@ -320,7 +320,7 @@
         requirements: AttemptRequirements,
         now_s: float,
     ) -> SelectedEndpoint | None:
-        """Returns another endpoint for an attempt that the preferred ones have no room for."""
+        """Returns an endpoint for an attempt that the preferred ones would refuse, or None."""
         service = requirements.service
         if (
             not isinstance(choice, Refusal)
@@ -341,14 +341,13 @@
             and endpoint.missing_since_s is None
             and not self._rate_limits.wait_s(endpoint.record, now_s)
         ]
-        spare = choose_spare(usable, now_s)
+        spare = find_spare(usable, now_s)
         if spare is not None:
-            endpoint, rank = spare
-            return SelectedEndpoint(endpoint, len(preferred) + rank)
-        if may_wait(preferred, requirements.deadline_s, self._registry.predict_answer_s, now_s):
-            rank = self._fastest(preferred[:PREFERRED_ENDPOINTS], now_s)[1]
-            return SelectedEndpoint(preferred[rank], PREFERRED_ENDPOINTS)
-        return None
+            endpoint, index = spare
+            return SelectedEndpoint(endpoint, PREFERRED_ENDPOINTS + index)
+        expected = [(each, self._registry.predict_answer_s(each, now_s)) for each in preferred]
+        queue = find_queue(expected, requirements.deadline_s, now_s)
+        return SelectedEndpoint(queue, PREFERRED_ENDPOINTS) if queue is not None else None
 
     def has_warm_capacity(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether an attempt would be sent to a warm endpoint now."""
--- a/lycheepin/steering/overflow.py
+++ b/lycheepin/steering/overflow.py
@@ -1,22 +1,22 @@
-"""Decides when an attempt may overflow from its object's preferred endpoints to another one.
+"""Decides about attempts that an object's preferred endpoints would refuse in calm.
 
 Load addressed: uneven endpoints, of which single ones fill up for parts of a second while most of
-their service is idle. An endpoint that doesn't know the object takes several times as long and may
-drop another object from its cache, so only a part of the requests overflows, to endpoints with
-many free slots, and nothing while a service is short of room: an overflow would then take more
-room than it saves.
+their service is idle. Such an attempt overflows to another endpoint with many free slots, or waits
+at a preferred one although its answer will be late. An endpoint that doesn't know the object takes
+several times as long and may drop another object from its cache, so only a part of the attempts
+overflows, and nothing while a service is short of room: it would take more room than it saves.
 """
 
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from lycheepin.names import ServiceName
 from lycheepin.steering.endpoint import Endpoint
 
-__all__ = ["Overflow", "choose_spare", "may_wait"]
+__all__ = ["Overflow", "find_queue", "find_spare"]
 
 # Length in seconds of the window in which attempts are counted, and of the bins it consists of.
 WINDOW_S = 2.0
@@ -33,31 +33,33 @@
 LATE_MARGIN = 1.5
 
 
-def choose_spare(endpoints: Iterable[Endpoint], now_s: float) -> tuple[Endpoint, int] | None:
+def find_spare(endpoints: Iterable[Endpoint], now_s: float) -> tuple[Endpoint, int] | None:
     """Returns the first endpoint with many free slots and its index, or None.
 
     Only endpoints that report how slow their machines are take an overflow.
     """
-    for rank, endpoint in enumerate(endpoints):
+    for index, endpoint in enumerate(endpoints):
         spare = SPARE_FRACTION * endpoint.record.slots
         if endpoint.reports_slowness and endpoint.load(now_s) + 1 <= spare:
-            return endpoint, rank
+            return endpoint, index
     return None
 
 
-def may_wait(
-    preferred: Sequence[Endpoint],
-    deadline_s: float,
-    predict_answer_s: Callable[[Endpoint, float], float],
-    now_s: float,
-) -> bool:
-    """Returns whether a late answer is expected well before the deadline."""
-    return any(
-        endpoint.reports_slowness
+def find_queue(
+    preferred: Iterable[tuple[Endpoint, float]], deadline_s: float, now_s: float
+) -> Endpoint | None:
+    """Returns the preferred endpoint that answers first, if well before a deadline; else None.
+
+    Takes the endpoints with the expected times to their answers, in seconds.
+    """
+    waiting = [
+        (answer_s, endpoint.record.id, endpoint)
+        for endpoint, answer_s in preferred
+        if endpoint.reports_slowness
         and endpoint.load(now_s) + 1 <= MAX_QUEUE * endpoint.record.slots
-        and now_s + LATE_MARGIN * predict_answer_s(endpoint, now_s) <= deadline_s
-        for endpoint in preferred[:2]
-    )
+        and now_s + LATE_MARGIN * answer_s <= deadline_s
+    ]
+    return min(waiting)[2] if waiting else None
 
 
 @dataclass
@@ -71,7 +73,10 @@
 
 
 class Overflow:
-    """The attempts of this daemon by service; times are monotonic seconds."""
+    """The attempts of this daemon by service; times are monotonic seconds.
+
+    An attempt that waits although it will be late counts as overflowed.
+    """
 
     def __init__(self) -> None:
         self._bins: dict[ServiceName, deque[_Bin]] = {}
