Homes have orders of their own; refusals of full and lost homes are spread

Cause: the kept endpoints of an object's order are the first 16 of all regions, and the own region weighs four times; with homes elsewhere they ran out, and each choice ranked the whole service. All callers that a lost or evacuated home refused were told 1.3 s, and so were all that an endpoint with a long queue refused: the first place was the last one.

Change: orders by object and allowed regions; places of returns begin at 0.91 s at the latest; what no endpoint may serve is spread over 0.91 to 1.3 s for callers of workspaces. A home that is full, evacuated, lost or has one endpoint that was tried refuses at once; nothing goes elsewhere.

Without workspaces choices and times are as before.

--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -277,7 +277,7 @@
             return self._refuse_limited(limited_s, requirements.jitter)
         usable = self._usable_endpoints(requirements)
         if not usable:
-            return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
+            return self._refuse_unusable(requirements)
         healthy = self._healthy_endpoints(usable, now_s)
         cold = [endpoint for endpoint in healthy or usable if endpoint.is_cold(now_s)]
         for rank, endpoint in enumerate(cold):
@@ -295,7 +295,7 @@
             if not free:
                 return self._refuse_limited(min(waits_s), requirements.jitter)
             return self._choose_warm(free, requirements, now_s)
-        return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
+        return self._refuse_unusable(requirements)
 
     def has_warm_capacity(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether an attempt would be sent to a warm endpoint now."""
@@ -323,7 +323,7 @@
         found: list[Endpoint] = []
         waits_s: list[float] = []
         for endpoint in self._placement.iterate_endpoints(
-            requirements.service, requirements.object_key
+            requirements.service, requirements.object_key, requirements.allowed_regions
         ):
             if (
                 now_s >= endpoint.excluded_until_s
@@ -352,7 +352,9 @@
 
     def _usable_endpoints(self, requirements: AttemptRequirements) -> list[Endpoint]:
         """Returns the endpoints that may serve an attempt, in the object's order of preference."""
-        ordered = self._placement.order_endpoints(requirements.service, requirements.object_key)
+        ordered = self._placement.order_endpoints(
+            requirements.service, requirements.object_key, requirements.allowed_regions
+        )
         return [endpoint for endpoint in ordered if self._is_usable(endpoint, requirements)]
 
     @staticmethod
@@ -492,6 +494,17 @@
         )
         return Refusal(kind, retry_after_s, weighed)
 
+    @staticmethod
+    def _refuse_unusable(requirements: AttemptRequirements) -> Refusal:
+        """Returns a refusal while no endpoint may serve an attempt, and nothing tells until when.
+
+        Callers of workspaces, whose homes go at once, don't return at once.
+        """
+        if requirements.workspace is None:
+            return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
+        retry_after_s = spread_retry(MAX_RETRY_AFTER_S, requirements.jitter)
+        return Refusal(ErrorKind.NO_CAPACITY, retry_after_s)
+
     @staticmethod
     def _refuse_limited(wait_s: float, jitter: float) -> Refusal:
         """Returns a refusal until an endpoint takes a request of this daemon again."""
--- a/lycheepin/steering/placement.py
+++ b/lycheepin/steering/placement.py
@@ -7,7 +7,8 @@
 
 Load addressed: services of hundreds of endpoints, of which some are added, replaced or removed
 every second. Few endpoints of an order are ever used, so only its first ones are kept, and a change
-of an endpoint is applied to an order when it is used next.
+of an endpoint is applied to an order when it is used next. Requests that only some regions may
+serve have orders of their own: of the first ones of all endpoints, few stand in another region.
 """
 
 from __future__ import annotations
@@ -31,6 +32,10 @@
 # Number of orders that are kept; the least recently used ones are dropped beyond it.
 MAX_KEPT_ORDERS = 4096
 _HASH_RANGE = float(1 << 64)
+ANY_REGION: frozenset[RegionName] = frozenset()
+
+# An object of a service, and the regions that may serve it; empty for any.
+_OrderKey = tuple[ServiceName, str, frozenset[RegionName]]
 
 
 def rendezvous_score(endpoint_id: EndpointId, object_key: str, weight: float) -> float:
@@ -92,37 +97,43 @@
     def __init__(self, registry: EndpointRegistry, region: RegionName) -> None:
         self._registry = registry
         self.own_region = region
-        self._orders: OrderedDict[tuple[ServiceName, str], _Order] = OrderedDict()
+        self._orders: OrderedDict[_OrderKey, _Order] = OrderedDict()
 
-    def iterate_endpoints(self, service: ServiceName, object_key: str) -> Iterator[Endpoint]:
-        """Yields all endpoints of a service in descending order of their scores.
+    def iterate_endpoints(
+        self, service: ServiceName, object_key: str, regions: frozenset[RegionName] = ANY_REGION
+    ) -> Iterator[Endpoint]:
+        """Yields the endpoints of a service in some regions in descending order of their scores.
 
-        Those beyond the first few cost a computation over all endpoints of the service.
+        Those beyond the first few cost a computation over all of them.
         """
-        order = self._find_order(service, object_key)
+        order = self._find_order(service, object_key, regions)
         count = len(order.entries)
         for _, endpoint in order.entries:
             yield endpoint
         if not order.is_complete:
-            for _, endpoint in self._rank(service, object_key, None)[count:]:
+            for _, endpoint in self._rank(service, object_key, regions, None)[count:]:
                 yield endpoint
 
-    def order_endpoints(self, service: ServiceName, object_key: str) -> list[Endpoint]:
-        """Returns all endpoints of a service in descending order of their scores."""
-        return list(self.iterate_endpoints(service, object_key))
-
-    def _find_order(self, service: ServiceName, object_key: str) -> _Order:
-        """Returns the order of an object, up to date with the registry."""
-        key = (service, object_key)
+    def order_endpoints(
+        self, service: ServiceName, object_key: str, regions: frozenset[RegionName] = ANY_REGION
+    ) -> list[Endpoint]:
+        """Returns the endpoints of a service in some regions, the highest scores first."""
+        return list(self.iterate_endpoints(service, object_key, regions))
+
+    def _find_order(
+        self, service: ServiceName, object_key: str, regions: frozenset[RegionName] = ANY_REGION
+    ) -> _Order:
+        """Returns the order of an object in some regions, up to date with the registry."""
+        key = (service, object_key, regions)
         order = self._orders.get(key)
         if order is not None:
             self._orders.move_to_end(key)
             changes = self._registry.order_changes_after(order.as_of)
             if changes is not None:
-                self._apply_changes(order, service, object_key, changes)
+                self._apply_changes(order, key, changes)
                 if order.is_complete or len(order.entries) >= MIN_KEPT_ENDPOINTS:
                     return order
-        entries = self._rank(service, object_key, KEPT_ENDPOINTS)
+        entries = self._rank(service, object_key, regions, KEPT_ENDPOINTS)
         lowest = entries[-1][0] if len(entries) == KEPT_ENDPOINTS else -math.inf
         order = _Order(entries, lowest, self._registry.order_change_count)
         self._orders[key] = order
@@ -130,23 +141,26 @@
             self._orders.popitem(last=False)
         return order
 
-    def _apply_changes(
-        self, order: _Order, service: ServiceName, object_key: str, changes: Iterable[OrderChange]
-    ) -> None:
+    def _apply_changes(self, order: _Order, key: _OrderKey, changes: Iterable[OrderChange]) -> None:
         """Applies the registry's changes to an order."""
+        service, object_key, regions = key
         order.as_of = self._registry.order_change_count
         for change in changes:
             if change.service != service:
                 continue
             order.discard(change.endpoint)
-            if change.present:
-                record = change.endpoint.record
+            record = change.endpoint.record
+            if change.present and (not regions or record.region in regions):
                 weight = self.find_weight(record.slots, record.region)
                 digest = _digest(change.endpoint.id_hash, object_key.encode())
                 order.insert(_score_digest(digest, weight), change.endpoint)
 
     def _rank(
-        self, service: ServiceName, object_key: str, limit: int | None
+        self,
+        service: ServiceName,
+        object_key: str,
+        regions: frozenset[RegionName],
+        limit: int | None,
     ) -> list[tuple[float, Endpoint]]:
         """Returns the first `limit` endpoints, or all, with their scores; the highest first.
 
@@ -155,6 +169,8 @@
         key = object_key.encode()
         ranked: list[list[tuple[float, Endpoint]]] = []
         for (slots, region), endpoints in self._registry.groups(service):
+            if regions and region not in regions:
+                continue
             hashed = ((_digest(e.id_hash, key), index) for index, e in enumerate(endpoints))
             best = sorted(hashed, reverse=True) if limit is None else nlargest(limit, hashed)
             weight = self.find_weight(slots, region)
--- a/lycheepin/steering/return_times.py
+++ b/lycheepin/steering/return_times.py
@@ -53,7 +53,8 @@
         Room comes after `wait_s`, and for one caller of this daemon every `interval_s` seconds.
         When all places up to the longest time are taken, callers are spread over the whole time.
         """
-        first_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, wait_s))
+        longest_first_s = (1 - RETRY_JITTER) * MAX_RETRY_AFTER_S
+        first_s = max(MIN_RETRY_AFTER_S, min(longest_first_s, wait_s))
         next_s = self._next_s.setdefault(endpoint_id, {})
         place_s = max(now_s + first_s, next_s.get(priority, 0.0))
         if place_s > now_s + MAX_RETRY_AFTER_S:
--- a/tests/steering/test_dispatch.py
+++ b/tests/steering/test_dispatch.py
@@ -1,9 +1,11 @@
 import unittest
 
-from lycheepin.names import EndpointId, RegionName, ZoneName
+from lycheepin.names import EndpointId, RegionName, WorkspaceName, ZoneName
 from lycheepin.steering.choices import Refusal, SelectedEndpoint
 from lycheepin.steering.dispatch import PREFERRED_ENDPOINTS, WAITING_PER_SLOT
+from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.return_times import MAX_RETRY_AFTER_S
+from lycheepin.steering.workspaces import Workspace
 from tests.steering.builders import (
     SPEC,
     build_dispatcher,
@@ -199,3 +201,69 @@
         first = self._choose().endpoint.record.id
         second = self._choose(tried=frozenset([EndpointId(first)])).endpoint.record.id
         self.assertNotEqual(first, second)
+
+
+class Homes(unittest.TestCase):
+    """Requests that only one region may serve, while endpoints of the own region are free."""
+
+    def setUp(self) -> None:
+        self.registry = build_registry(
+            *(record(f"n{number}") for number in range(20)),
+            *(record(f"s{number}", "south") for number in range(3)),
+        )
+        self.dispatcher = build_dispatcher(self.registry)
+
+    def _choose(self, **changes: object) -> SelectedEndpoint | Refusal:
+        requirements = build_requirements(
+            allowed_regions=frozenset([RegionName("south")]),
+            workspace=Workspace(WorkspaceName("w")),
+            **changes,
+        )
+        return self.dispatcher.choose_endpoint(requirements, SPEC, 0.0)
+
+    def _assert_refused(self, **changes: object) -> None:
+        """Asserts that requests are refused at once, with times that differ."""
+        times_s = set()
+        for jitter in (0.0, 0.5, 1.0):
+            choice = self._choose(jitter=jitter, **changes)
+            assert isinstance(choice, Refusal), choice
+            times_s.add(choice.retry_after_s)
+        self.assertGreater(len(times_s), 1)
+        self.assertLessEqual(max(times_s), MAX_RETRY_AFTER_S)
+
+    def _south(self) -> list[Endpoint]:
+        return [e for e in self.registry.all() if e.record.region == "south"]
+
+    def test_preferred_endpoints_are_the_first_two_of_the_home(self) -> None:
+        used = set()
+        for _ in range(2):
+            choice = self._choose()
+            assert isinstance(choice, SelectedEndpoint)
+            used.add(choice.endpoint.record.id)
+            choice.endpoint.in_flight = 50
+        self.assertEqual({name[0] for name in used}, {"s"})
+        self.assertEqual(len(used), PREFERRED_ENDPOINTS)
+        self._assert_refused()
+
+    def test_full_home_refuses(self) -> None:
+        for endpoint in self._south():
+            endpoint.in_flight = 50
+        self._assert_refused()
+
+    def test_evacuated_home_refuses(self) -> None:
+        self.registry.evacuate(ZoneName("south-1"), True, 0.0, 0.0)
+        self._assert_refused()
+
+    def test_lost_home_refuses(self) -> None:
+        for endpoint in self._south():
+            self.registry.remove(endpoint.record.id, 0.0)
+        self._assert_refused()
+
+    def test_home_with_one_endpoint_is_tried_once(self) -> None:
+        last, *others = self._south()
+        for endpoint in others:
+            self.registry.remove(endpoint.record.id, 0.0)
+        choice = self._choose()
+        assert isinstance(choice, SelectedEndpoint)
+        self.assertIs(choice.endpoint, last)
+        self._assert_refused(tried=frozenset([last.record.id]))
