Tests of quotas don't depend on how fast requests are answered

One test of tests.steering.test_quotas, tests.gateway.test_quotas and tests.platform.test_boundaries failed once on the busy machine; its name was lost with the cut output, so the cause is not proven. What a run shows: with 0.7 s before each request the two-daemon test never ended (40 tokens a second came faster than the requests).

--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -6,6 +6,7 @@
 import ipaddress
 import socket
 from typing import Any
+from unittest import mock
 
 from lycheepin.gateway.process import Gateway
 from lycheepin.gateway.quota_exchange import read_clock_s
@@ -23,9 +24,7 @@
 NUMBER = identify_by_number("alpha")
 
 
-def build_configuration(
-    version: int = 1, rate: float = 40.0, burst: float = 20.0
-) -> dict[str, Any]:
+def build_configuration(version: int = 1, rate: float = 1.0, burst: float = 4.0) -> dict[str, Any]:
     limited = {"apiKeys": ["alpha-1"], "ratePerS": rate, "burst": burst}
     return configuration(version) | {"tenants": {"alpha": limited, "beta": {"apiKeys": ["b-1"]}}}
 
@@ -74,7 +73,7 @@
         await self.wait_until(lambda: len(self.first.directory.carriers) == 2)
 
     async def test_one_daemon_gets_the_tokens_of_both_and_more_is_refused(self) -> None:
-        await self.wait_until(lambda: self.count_tokens(self.first) >= 10.0)
+        await self.wait_until(lambda: self.count_tokens(self.first) >= 1.0)
         statuses: list[int] = []
         while self.first.metrics.value("quota_loans_taken") < 3:
             statuses += await self.ask(self.first, 20)
@@ -94,17 +93,33 @@
                 break
         self.assertGreater(float(headers["retry-after"]), 0.0)
         line = next(line for line in lines if line["event"] == "quota_spent")
-        self.assertEqual((line["workspace"], line["limit_per_s"]), ("alpha", 40.0))
+        self.assertEqual((line["workspace"], line["limit_per_s"]), ("alpha", 1.0))
         self.assertLess(line["tokens"], 1.0)
         self.assertNotIn("alpha-1", str(lines))
 
 
 class RefundTest(QuotaCase):
+    """One daemon with a clock that stands still, so that no token comes while requests are sent."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.clock_s = 1000.0
+        clock = mock.patch("lycheepin.gateway.quota_exchange.read_clock_s", lambda: self.clock_s)
+        clock.start()
+        self.addCleanup(clock.stop)
+
+    async def fill(self, gateway: Gateway) -> None:
+        """Lets the time pass in which the gateway gets one token."""
+        await self.wait_until(lambda: gateway.directory.carriers)
+        ledger = gateway.quotas.ledger
+        while ledger.count_tokens(WorkspaceName("alpha"), self.clock_s) < 1.0:
+            self.clock_s += 0.5
+
     async def test_request_that_did_not_run_costs_no_token(self) -> None:
-        self.store.put("op/config", build_configuration(rate=2.0, burst=1.0))
+        self.store.put("op/config", build_configuration(rate=1.0, burst=1.0))
         gateway = await self.add_member(1)
         await self.wait_until_ready(gateway)
-        await self.wait_until(lambda: self.count_tokens(gateway) >= 1.0)
+        await self.fill(gateway)
         self.assertEqual({*await self.ask(gateway, 5)}, {503})
         await self.add_endpoint("one")
         await self.wait_until_ready(gateway)
@@ -114,12 +129,12 @@
         async def break_off(received: ReceivedRequest) -> bytes:
             return b""
 
-        self.store.put("op/config", build_configuration(rate=2.0, burst=1.0))
+        self.store.put("op/config", build_configuration(rate=1.0, burst=1.0))
         for name in ("one", "two"):
             await self.add_endpoint(name, break_off)
         gateway = await self.add_member(1)
         await self.wait_until_ready(gateway)
-        await self.wait_until(lambda: self.count_tokens(gateway) >= 1.0)
+        await self.fill(gateway)
         self.assertEqual(await self.ask(gateway, 1), [502])
         self.assertEqual(sum(len(e.received_requests) for e in self.endpoints), 1)
         self.assertEqual({*await self.ask(gateway, 1, "b-1")}, {502})
