--- a/tests/steering/quota_replay.py
+++ b/tests/steering/quota_replay.py
@@ -20,7 +20,11 @@
 
 
 class Replay:
-    """Daemons that exchange tokens; those in `cut` neither send nor get messages."""
+    """Daemons that exchange tokens.
+
+    Those in `cut` neither send nor get messages; those in `asleep` do nothing until a time. `views`
+    has the carriers that single daemons know, the others know `carriers`.
+    """
 
     def __init__(self, workspaces: list[Workspace], seed: int = 1, lost: float = 0.0) -> None:
         self.workspaces = workspaces
@@ -32,6 +36,7 @@
         self.views: dict[DaemonName, tuple[DaemonName, ...]] = {}
         self.ledgers: dict[DaemonName, QuotaLedger] = {}
         self.cut: set[DaemonName] = set()
+        self.asleep: dict[DaemonName, float] = {}
         self.messages = 0
         self.admitted: defaultdict[str, list[float]] = defaultdict(list)
         self.refused: defaultdict[str, list[float]] = defaultdict(list)
@@ -77,10 +82,29 @@
         self.ledgers.pop(name, None)
         self.at(self.now_s + restart_s, self.start, name)
 
+    def suspend(self, name: DaemonName, seconds: float) -> None:
+        """Suspends the machine of a daemon; what comes meanwhile is handled afterwards."""
+        self.asleep[name] = self.now_s + seconds
+
+    def change_carriers(self, carriers: tuple[DaemonName, ...], most_s: float) -> None:
+        """Changes the carriers; each daemon hears of it within a time."""
+        self.views = {name: self.carriers for name in self.ledgers} | self.views
+        self.carriers = carriers
+        for name in self.ledgers:
+            time_s = self.now_s + self.random.uniform(0.0, most_s)
+            self.at(time_s, self.views.update, {name: carriers})
+
+    def _sleeps(self, name: DaemonName, act: Callable[..., None], *arguments: Any) -> bool:
+        """Returns whether a machine is suspended; then the act is done when it goes on."""
+        until_s = self.asleep.get(name, 0.0)
+        if self.now_s < until_s:
+            self.at(until_s, act, *arguments)
+        return self.now_s < until_s
+
     def ask(self, name: DaemonName, workspace: str) -> None:
         """Sends a request to a daemon."""
         ledger = self.ledgers.get(name)
-        if ledger is None:
+        if ledger is None or self._sleeps(name, self.ask, name, workspace):
             return
         spend = ledger.try_spend(WorkspaceName(workspace), self.now_s)
         if ledger.is_urgent and self._next_tick_s.get(name, 0.0) > self.now_s + URGENT_S:
@@ -137,6 +161,9 @@
         """Sends the asks of a daemon."""
         if self.ledgers.get(name) is not ledger or self.now_s != self._next_tick_s[name]:
             return
+        if name in self.asleep and self.now_s < self.asleep[name]:
+            self._schedule_tick(name, ledger, self.asleep[name])
+            return
         self._last_tick_s[name] = self.now_s
         ledger.advance(self.now_s)
         for ask in ledger.plan_asks(self.now_s):
@@ -172,5 +199,7 @@
         self, source: DaemonName, target: DaemonName, act: Callable[..., None], arguments: Any
     ) -> None:
         """Delivers a message if its target lives and neither side is cut off."""
-        if target in self.ledgers and not self.cut & {source, target}:
+        if target not in self.ledgers or self.cut & {source, target}:
+            return
+        if not self._sleeps(target, self._deliver, source, target, act, arguments):
             act(*arguments)
--- a/tests/steering/test_quotas.py
+++ b/tests/steering/test_quotas.py
@@ -295,10 +295,10 @@
 
 
 class BoundTest(unittest.TestCase):
-    """Any load, lost, late and doubled messages, restarts and cuts."""
+    """Any load, lost, late and doubled messages, restarts, cuts, suspensions and late news."""
 
     @given(data=st.data(), seed=st.integers(0, 1000))
-    @settings(max_examples=12, deadline=None, derandomize=True)
+    @settings(max_examples=20, deadline=None, derandomize=True)
     def test_no_window_exceeds_the_bound(self, data: Any, seed: int) -> None:
         rate_per_s = data.draw(st.sampled_from((0.5, 2.0, 40.0)))
         workspace = limit(rate_per_s=rate_per_s, burst=data.draw(st.sampled_from((0.0, 2.0, 40.0))))
@@ -315,10 +315,15 @@
             replay.add_load("hot", at, per_s, start_s, start_s + 6.0)
         for _ in range(data.draw(st.integers(0, 4))):
             time_s, name = data.draw(st.floats(3.0, 22.0)), data.draw(st.sampled_from(names))
-            if data.draw(st.booleans()):
-                replay.at(time_s, replay.kill, name, data.draw(st.floats(0.1, 2.0)))
-            else:
-                replay.at(time_s, replay.cut.add, name)
-                replay.at(time_s + 3.0, replay.cut.discard, name)
+            match data.draw(st.sampled_from(("kill", "cut", "suspend", "add"))):
+                case "kill":
+                    replay.at(time_s, replay.kill, name, data.draw(st.floats(0.1, 2.0)))
+                case "cut":
+                    replay.at(time_s, replay.cut.add, name)
+                    replay.at(time_s + 3.0, replay.cut.discard, name)
+                case "suspend":
+                    replay.at(time_s, replay.suspend, name, data.draw(st.floats(0.5, 4.0)))
+                case "add":
+                    replay.at(time_s, replay.change_carriers, names[: carriers + 1], 1.4)
         replay.run_until(25.0)
         self.assertLessEqual(replay.find_excess(workspace), 0.0)
