Requests return by and by to endpoints that have just started or recovered

Cause: when an endpoint's cold time or exclusion or the evacuation of its zone ends, all daemons return to it in the same moment, while its caches are empty and the endpoints that stood in for it know its objects. Change: steering/pace.py limits a daemon's requests in flight at such an endpoint; the limit grows with its answers in time and falls with late ones, refusals and failures, and ends once it binds no more. What is beyond it goes to the next endpoints of the object; it is never a reason to refuse. Only for services whose endpoints report their slowness, so that earlier deployments are served as before.

--- a/experiments/model.py
+++ b/experiments/model.py
@@ -209,6 +209,10 @@
             self._warm_objects.popitem(last=False)
         self._scheduler.call_later(self._stretch(processing_s, job), lambda: self._finish_job(job))
 
+    def restart(self) -> None:
+        """Forgets all objects, as a new process does."""
+        self._warm_objects.clear()
+
     @property
     def slowness(self) -> float | None:
         """The factor by which work takes longer at the moment; None if it isn't reported."""
@@ -347,6 +351,8 @@
             ended_s = self._simulation.scheduler.now_s
             race.remove(attempt)
             progress.running -= 1
+            paces = self.dispatcher.paces
+            progress.record_pace(result, attempt.endpoint, paces, attempt.started_s, ended_s)
             progress.record_result(result, attempt.endpoint, self.registry, ended_s)
             retryable = progress.is_retryable(result)
             if not isinstance(result, NotRun):
@@ -359,6 +365,7 @@
                 other.cancel()
                 waited_s = ended_s - other.started_s
                 progress.running -= 1
+                paces.observe_failure(other.endpoint, other.started_s, ended_s)
                 progress.record_loss(other.endpoint, self.registry, waited_s, ended_s)
                 self._hedging.observe_time(progress, other.endpoint, waited_s)
                 self._hedging.observe_race(progress, attempt.is_second, ended_s)
--- a/lycheepin/gateway/hedged_attempt.py
+++ b/lycheepin/gateway/hedged_attempt.py
@@ -190,6 +190,7 @@
             loser.task.cancel()
             endpoint, waited_s = loser.choice.endpoint, now_s - loser.started_s
             self._hedging.observe_time(progress, endpoint, waited_s)
+            self._dispatcher.paces.observe_failure(endpoint, loser.started_s, now_s)
             change = progress.record_loss(endpoint, self._registry, waited_s, now_s)
             self._log.write_endpoint_change(change, endpoint)
             self._log.write_hedge_end(progress, winner.choice, loser.choice, waited_s)
@@ -222,6 +223,7 @@
             progress.running -= 1
         result = Served(outcome.head.status) if isinstance(outcome, EndpointAnswer) else outcome
         self._observe_time(progress, attempt, result)
+        progress.record_pace(result, endpoint, self._dispatcher.paces, attempt.started_s, _now_s())
         change = progress.record_result(result, endpoint, self._registry, _now_s())
         self._log.write_endpoint_change(change, endpoint)
         self._log.write_attempt(request, progress, choice, attempt.started_s, slowness, result)
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from copy import deepcopy
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from types import MappingProxyType
 
 from lycheepin.errors import ErrorKind
@@ -30,6 +30,7 @@
 from lycheepin.steering.contention import Contention
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.pace import Pace, Paces
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import LimitRecord, RateLimits
 from lycheepin.steering.region_shares import RegionShares, SharesRecord
@@ -76,10 +77,14 @@
     rate_limits: dict[EndpointId, LimitRecord]
     max_shift: float | None
     region_shares: dict[ServiceName, SharesRecord]
+    paces: dict[EndpointId, Pace] = field(default_factory=dict)
 
 
 class Dispatcher:
-    """Selects endpoints for the attempts of this daemon."""
+    """Selects endpoints for the attempts of this daemon.
+
+    `paces` gets the results of attempts at endpoints to which requests return by and by.
+    """
 
     def __init__(
         self,
@@ -90,6 +95,7 @@
         rate_limits: RateLimits,
         region_shares: RegionShares | None = None,
         cold_starts_s: Mapping[EndpointId, Iterable[float]] = MappingProxyType({}),
+        paces: Mapping[EndpointId, Pace] = MappingProxyType({}),
     ) -> None:
         self._registry = registry
         self._carriers = carriers
@@ -98,6 +104,7 @@
         self._rate_limits = rate_limits
         self._cold_starts = ColdStartLimiter(limits, carriers, cold_starts_s)
         self._contention = Contention()
+        self.paces = Paces(registry, carriers, paces)
 
     @classmethod
     def from_counts(
@@ -117,6 +124,7 @@
             RateLimits(own, carriers, counts.rate_limits),
             RegionShares(region, counts.max_shift, counts.region_shares),
             counts.cold_starts_s,
+            counts.paces,
         )
 
     @property
@@ -133,6 +141,7 @@
             self._rate_limits.records,
             self._region_shares.max_shift,
             self._region_shares.records,
+            self.paces.records,
         )
 
     def explain(
@@ -165,6 +174,7 @@
             "cold": endpoint.is_cold(now_s),
             "missing from the store": endpoint.missing_since_s is not None,
             "limit reached": self._rate_limits.wait_s(record, now_s) > 0,
+            "returns by and by": not self.paces.may_start(endpoint, now_s),
         }
         return Candidate(
             self._weigh(endpoint, now_s),
@@ -184,6 +194,7 @@
         """Removes the counters of an endpoint that no longer exists."""
         self._cold_starts.forget_endpoint(endpoint_id)
         self._rate_limits.forget_endpoint(endpoint_id)
+        self.paces.forget_endpoint(endpoint_id)
 
     def choose_endpoint(
         self, requirements: AttemptRequirements, spec: ServiceSpec, now_s: float
@@ -209,6 +220,7 @@
             weighed = (self._weigh(choice.endpoint, now_s),)
             return self._refuse(choice.endpoint, ErrorKind.SHIFT_CAP, requirements, weighed, now_s)
         shares.count_sent(service, region, now_s)
+        self.paces.count_start(choice.endpoint, now_s)
         self._rate_limits.count_request(choice.endpoint.record.id, now_s)
         return choice
 
@@ -296,12 +308,14 @@
         """Returns the preferred endpoints of an object: its first healthy warm ones.
 
         Those that take no request of this daemon now because of a limit are passed over; returns
-        also the seconds until the first of them takes one, None if there are none.
+        also the seconds until the first of them takes one, None if there are none. Those whose
+        requests return by and by are passed over for others only.
         """
         use_missing = not self._registry.missing_count or not self._is_listed_enough(
             requirements, now_s
         )
         found: list[Endpoint] = []
+        paced: list[Endpoint] = []
         waits_s: list[float] = []
         for endpoint in self._placement.iterate_endpoints(
             requirements.service, requirements.object_key
@@ -315,11 +329,13 @@
                 wait_s = self._rate_limits.wait_s(endpoint.record, now_s)
                 if wait_s:
                     waits_s.append(wait_s)
+                elif not self.paces.may_start(endpoint, now_s):
+                    paced.append(endpoint)
                 else:
                     found.append(endpoint)
                 if len(found) == PREFERRED_ENDPOINTS or len(waits_s) == MAX_LIMITED:
                     break
-        return found, min(waits_s, default=None)
+        return found or paced, min(waits_s, default=None)
 
     def _is_listed_enough(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether the endpoints that are listed in the store can do without the others."""
--- a/lycheepin/steering/endpoint.py
+++ b/lycheepin/steering/endpoint.py
@@ -78,7 +78,8 @@
 class Endpoint:
     """An endpoint with the load, speed and failures that this daemon has observed.
 
-    Times are monotonic seconds.
+    Times are monotonic seconds. From `resumes_at_s` on, requests return to it after a pause; 0 if
+    there was none. `reported_full` is true if its last report named no free slot.
     """
 
     record: EndpointRecord
@@ -90,6 +91,8 @@
     silences: int = 0
     missing_since_s: float | None = None
     removed: bool = False
+    resumes_at_s: float = 0.0
+    reported_full: bool = False
     id_hash: Any = field(init=False, repr=False, compare=False)
     _last_response_s: float = 0.0
     _other_requests: float = 0.0
@@ -175,6 +178,7 @@
 
         This daemon's own requests are subtracted, as their number is known exactly.
         """
+        self.reported_full = running + waiting >= self.record.slots
         other_requests = max(0.0, running + waiting - self.in_flight)
         before = self._other_requests * exp((self._other_requests_updated_s - now_s) / LOAD_DECAY_S)
         self._other_requests = before + SMOOTHING * (other_requests - before)
@@ -256,11 +260,17 @@
         """Excludes the endpoint, each time for longer until it answers."""
         self.exclusion_s = min(MAX_EXCLUSION_S, max(FIRST_EXCLUSION_S, 2 * self.exclusion_s))
         self.excluded_until_s = now_s + self.exclusion_s
+        self.resumes_at_s = self.excluded_until_s
+
+    def make_cold(self, until_s: float) -> None:
+        """Makes the endpoint cold until a time, after which requests return to it by and by."""
+        self.cold_until_s = self.resumes_at_s = until_s
 
     def observe_crash(self, now_s: float) -> None:
         """Excludes the endpoint for the longest time, as its process is known to have crashed."""
         self.exclusion_s = MAX_EXCLUSION_S
         self.excluded_until_s = now_s + MAX_EXCLUSION_S
+        self.resumes_at_s = self.excluded_until_s
 
     def is_cold(self, now_s: float) -> bool:
         """Returns whether the endpoint is cold."""
--- a/lycheepin/steering/fleet.py
+++ b/lycheepin/steering/fleet.py
@@ -73,6 +73,7 @@
         self.evacuated_zones: set[ZoneName] = set()
         self._mean_processing_s: dict[ServiceName, float] = {}
         self._answers: dict[ServiceName, int] = {}
+        self._uneven_services: set[ServiceName] = set()
         self._removed: OrderedDict[EndpointProcess, int] = OrderedDict()
         self._removed_before_copy: dict[EndpointProcess, int] = {}
         self._known_before_copy: dict[EndpointProcess, int] = {}
@@ -119,8 +120,14 @@
             self._endpoints[endpoint.record.id] = endpoint
             self._add_to_orders(endpoint)
             self.missing_count += endpoint.missing_since_s is not None
+            if endpoint.reports_slowness:
+                self._uneven_services.add(endpoint.record.service)
         self._mean_processing_s.update(mean_processing_s)
 
+    def is_uneven(self, service: ServiceName) -> bool:
+        """Returns whether endpoints of a service have reported how slow their machines are."""
+        return service in self._uneven_services
+
     def observe_answer(
         self, endpoint: Endpoint, now_s: float, duration_s: float, slowness: float = 1.0
     ) -> None:
@@ -129,6 +136,8 @@
         `slowness` is the factor by which work took longer there, as reported with the answer.
         """
         service = endpoint.record.service
+        if endpoint.reports_slowness:
+            self._uneven_services.add(service)
         crowding = max(1.0, endpoint.load(now_s) / endpoint.record.slots)
         processing_s = duration_s / (crowding * slowness)
         mean_s = self.mean_processing_s(service)
@@ -200,7 +209,8 @@
             self._removed.pop(record.process, None)
             self._removed_before_copy.pop(record.process, None)
             endpoint = Endpoint(record)
-            endpoint.cold_until_s = now_s + record.cold_s
+            if record.cold_s > 0.0:
+                endpoint.make_cold(now_s + record.cold_s)
             self._endpoints[record.id] = endpoint
             self._add_to_orders(endpoint)
             return True
@@ -209,8 +219,10 @@
         if self._is_outdated(record, now_s):
             return was_missing
         changed = was_missing or current.record.draining != record.draining
-        if current.record != record:
-            current.cold_until_s = now_s + record.cold_s
+        if current.record != record and record.cold_s > 0.0:
+            current.make_cold(now_s + record.cold_s)
+        elif current.record != record:
+            current.cold_until_s = now_s
         if _group_of(current.record) != _group_of(record):
             self._remove_from_orders(current)
             current.record = record
@@ -288,7 +300,7 @@
             self.evacuated_zones.discard(zone)
             for endpoint in self._endpoints.values():
                 if endpoint.record.zone == zone:
-                    endpoint.cold_until_s = max(endpoint.cold_until_s, now_s + cold_s)
+                    endpoint.make_cold(max(endpoint.cold_until_s, now_s + cold_s))
 
     def unlist_evacuation(self, zone: ZoneName, now_s: float, cold_s: float) -> None:
         """Ends an evacuation that a listing lacks, at once or when it could be written again."""
--- a/lycheepin/steering/progress.py
+++ b/lycheepin/steering/progress.py
@@ -17,6 +17,7 @@
 from lycheepin.steering.dispatch import Dispatcher
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
+from lycheepin.steering.pace import Paces
 from lycheepin.steering.quotas import Spend
 from lycheepin.steering.routes import RequestKind, Route
 from lycheepin.steering.suspects import Fingerprint
@@ -176,6 +177,21 @@
             )
         )
 
+    def record_pace(
+        self,
+        result: AttemptResult,
+        endpoint: Endpoint,
+        paces: Paces,
+        started_s: float,
+        now_s: float,
+    ) -> None:
+        """Applies the result of an attempt to the pace of an endpoint that has just returned."""
+        match result:
+            case Served(status=status) if status < FIRST_FAILURE_STATUS:
+                paces.observe_answer(endpoint, started_s, self.route.target_s, now_s)
+            case _:
+                paces.observe_failure(endpoint, started_s, now_s)
+
     def record_loss(
         self, endpoint: Endpoint, registry: EndpointRegistry, waited_s: float, now_s: float
     ) -> EndpointChange:
