--- a/standins/switches.py
+++ b/standins/switches.py
@@ -71,7 +71,7 @@
     Switch("endpoint.garbage", (0.02, 0.2), FRACTION),
     Switch("endpoint.endless", (0.02, 0.1), FRACTION),
     Switch("endpoint.no-length", (0.1, 0.5), FRACTION),
-    Switch("endpoint.reset-no-length", (0.05, 0.2), FRACTION),
+    Switch("endpoint.reset-no-length", (0.05, 0.2), FRACTION, needs="endpoint.early"),
     Switch("endpoint.early", (0.3, 1.0), FRACTION),
     Switch("endpoint.close", (0.1, 0.5), FRACTION),
     Switch("endpoint.keep-alive", (1.0, 2.0), SECONDS),
