--- a/lycheepin/steering/budgets.py
+++ b/lycheepin/steering/budgets.py
@@ -209,9 +209,8 @@
         """
         self._expire(now_s)
         slack = self.limits.retry_slack * slack_fraction
-        share = SAFETY_FRACTION * (self.limits.retry_ratio * len(self._requests) + slack)
-        allowed = part * share
-        return len(self._retries) + 1 <= allowed
+        allowed = SAFETY_FRACTION * (self.limits.retry_ratio * len(self._requests) + slack)
+        return len(self._retries) + 1 <= part * allowed
 
     def try_spend(self, now_s: float, slack_fraction: float) -> bool:
         """Counts a retry if the share covers it; returns whether it does."""
