The soak's proxies pass on a reset after the end of a stream

Cause, in the soak: a proxy reads nothing more from an endpoint whose stream has ended, and so never saw the reset; a daemon behind it had nothing to see. Besides, the switch asked for its fraction twice and took effect at its square. Change: the proxy asks its socket for an error until the other direction ends, too. Tests: test_reset_after_the_end_of_the_stream_is_passed_on failed before.

--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import socket
+from collections.abc import Awaitable
 from enum import Enum
 
 from lycheepin.gateway.settings import SocketAddress
@@ -14,6 +16,8 @@
 CHUNK_BYTES = 64 * 1024
 # Delay of each chunk in the mode DELAY.
 CHUNK_DELAY_S = 0.15
+# Interval in seconds of the checks for a reset after the end of a stream.
+WATCH_INTERVAL_S = 0.02
 
 
 class ProxyMode(Enum):
@@ -102,11 +106,14 @@
                 self.target.host, self.target.port
             )
             self._writers[target_writer] = host
-            await asyncio.gather(
-                self._forward_direction(reader, target_writer, host, _MODES_HOLDING_TO_TARGET),
-                self._forward_direction(target_reader, writer, host, _MODES_HOLDING_FROM_TARGET),
+            sending = asyncio.ensure_future(
+                self._forward_direction(reader, target_writer, host, _MODES_HOLDING_TO_TARGET)
             )
-        except ConnectionResetError:
+            receiving = self._forward_direction(
+                target_reader, writer, host, _MODES_HOLDING_FROM_TARGET
+            )
+            await asyncio.gather(sending, _watch_reset(receiving, target_writer, sending))
+        except (ConnectionResetError, BrokenPipeError):
             for connection_writer in (writer, target_writer):
                 if connection_writer is not None:
                     reset_connection(connection_writer)
@@ -136,3 +143,18 @@
             await writer.drain()
         if writer.can_write_eof():
             writer.write_eof()
+
+
+async def _watch_reset(
+    receiving: Awaitable[None], writer: asyncio.StreamWriter, sending: asyncio.Future[None]
+) -> None:
+    """Receives from a target, and raises ConnectionResetError if it resets after that.
+
+    Nothing else would notice, as nothing is read any more. Returns when `sending` to it has ended.
+    """
+    await receiving
+    while not sending.done():
+        await asyncio.wait({sending}, timeout=WATCH_INTERVAL_S)
+        connection = writer.get_extra_info("socket")
+        if connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            raise ConnectionResetError
--- a/standins/hostile.py
+++ b/standins/hostile.py
@@ -154,8 +154,9 @@
             head += b"\r\nServer-Load: " + self._random.choice(LOAD_REPORTS)
         if timeout_s := board.dose("endpoint.keep-alive"):
             head += b"\r\nKeep-Alive: timeout=%d" % timeout_s
-        if board.happens("endpoint.no-length") or board.happens("endpoint.reset-no-length"):
-            return await self._end_with_connection(received, head, body)
+        resets = board.happens("endpoint.reset-no-length")
+        if resets or board.happens("endpoint.no-length"):
+            return await self._end_with_connection(received, head, body, resets)
         closes = board.happens("endpoint.close")
         if closes:
             head += b"\r\nConnection: close"
@@ -178,7 +179,7 @@
         return not closes
 
     async def _end_with_connection(
-        self, received: ReceivedRequest, head: bytes, body: bytes
+        self, received: ReceivedRequest, head: bytes, body: bytes, resets: bool
     ) -> bool:
         """Sends an answer without a length, whole or reset in its middle; returns False.
 
@@ -186,7 +187,7 @@
         """
         writer = received.writer
         writer.write(_remove_length(head) + b"\r\n\r\n")
-        if self.board.happens("endpoint.reset-no-length"):
+        if resets:
             writer.write(body[:PART_BYTES])
             if not received.body_read and self._random.random() < 0.5:
                 writer.write_eof()
--- a/tests/soak/test_proxy.py
+++ b/tests/soak/test_proxy.py
@@ -1,9 +1,11 @@
 import asyncio
+import socket
 import unittest
 
 from lycheepin.gateway.settings import SocketAddress
 from soak.proxy import Proxy, ProxyMode
 from standins.messages import HOST
+from standins.servers import reset_connection
 
 RECEIVE_TIMEOUT_S = 5.0
 QUIET_CHECK_S = 0.1
@@ -74,3 +76,27 @@
     async def test_mode_of_one_host_does_not_affect_other_hosts(self) -> None:
         self.proxy.set_mode(ProxyMode.RESET, "127.9.9.9")
         await self._open()
+
+
+class ResetAfterEnd(unittest.IsolatedAsyncioTestCase):
+    # Guards against a soak in which an answer that was reset looks like one that ended.
+    async def test_reset_after_the_end_of_the_stream_is_passed_on(self) -> None:
+        async def end(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.read(1)
+            writer.write_eof()
+            await asyncio.sleep(QUIET_CHECK_S)
+            reset_connection(writer)
+
+        server = await asyncio.start_server(end, HOST, 0)
+        self.addCleanup(server.close)
+        proxy = Proxy(SocketAddress(HOST, server.sockets[0].getsockname()[1]))
+        await proxy.start()
+        self.addCleanup(proxy.close)
+        reader, writer = await asyncio.open_connection(proxy.address.host, proxy.address.port)
+        writer.write(b"a")
+        self.assertEqual(await reader.read(), b"")
+        connection = writer.get_extra_info("socket")
+        async with asyncio.timeout(RECEIVE_TIMEOUT_S):
+            while not connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                await asyncio.sleep(0.01)
+        writer.transport.abort()
