--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -104,7 +104,7 @@
     Mutant(
         "budgets: each daemon spends the whole budget of retries",
         "steering/budgets.py",
-        "return len(self._retries) + 1 <= allowed",
+        "return len(self._retries) + 1 <= part * allowed",
         "return True",
     ),
     Mutant(
