--- a/lycheepin/gateway/hedged_attempt.py
+++ b/lycheepin/gateway/hedged_attempt.py
@@ -155,12 +155,16 @@
             )
             match second:
                 case SelectedEndpoint():
-                    return second if self._admit_copy(progress) else None
+                    if self._admit_copy(progress):
+                        return second
+                    second = HedgeDenial.QUOTA
                 case HedgeDenial.NOT_ALLOWED:
                     return None
             if second not in denied:
                 denied.add(second)
                 self._metrics.count("hedges", f"denied_{second.value}")
+            if second is HedgeDenial.QUOTA:
+                return None
             wait_s = CHECK_INTERVAL_S
         return None
 
@@ -193,6 +197,7 @@
             loser.task.cancel()
             endpoint, waited_s = loser.choice.endpoint, now_s - loser.started_s
             self._hedging.observe_time(progress, endpoint, waited_s)
+            self._dispatcher.paces.observe_failure(endpoint, loser.started_s, now_s)
             change = progress.record_loss(endpoint, self._registry, waited_s, now_s)
             self._log.write_endpoint_change(change, endpoint)
             self._log.write_hedge_end(progress, winner.choice, loser.choice, waited_s)
@@ -225,6 +230,7 @@
             progress.running -= 1
         result = Served(outcome.head.status) if isinstance(outcome, EndpointAnswer) else outcome
         self._observe_time(progress, attempt, result)
+        progress.record_pace(result, endpoint, self._dispatcher.paces, attempt.started_s, _now_s())
         change = progress.record_result(result, endpoint, self._registry, _now_s())
         self._log.write_endpoint_change(change, endpoint)
         self._log.write_attempt(request, progress, choice, attempt.started_s, slowness, result)
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -11,7 +11,7 @@
 
 from collections.abc import Iterable, Mapping, Sequence
 from copy import deepcopy
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from itertools import islice
 from types import MappingProxyType
 from typing import NamedTuple
@@ -33,6 +33,7 @@
 from lycheepin.steering.endpoint import Endpoint
 from lycheepin.steering.fleet import EndpointRegistry
 from lycheepin.steering.overflow import Overflow, find_queue, find_spare
+from lycheepin.steering.pace import Pace, Paces
 from lycheepin.steering.placement import Placement
 from lycheepin.steering.rate_limits import LimitRecord, RateLimits
 from lycheepin.steering.region_shares import RegionShares, SharesRecord
@@ -84,6 +85,7 @@
     region_shares: dict[ServiceName, SharesRecord]
     contention: tuple[ContentionRecord, ...]
     return_times_s: dict[EndpointId, dict[int, float]]
+    paces: dict[EndpointId, Pace] = field(default_factory=dict)
 
 
 class _Weighed(NamedTuple):
@@ -96,7 +98,10 @@
 
 
 class Dispatcher:
-    """Selects endpoints for the attempts of this daemon."""
+    """Selects endpoints for the attempts of this daemon.
+
+    `paces` gets the results of attempts at endpoints to which requests return by and by.
+    """
 
     def __init__(
         self,
@@ -109,6 +114,7 @@
         cold_starts_s: Mapping[EndpointId, Iterable[float]] = MappingProxyType({}),
         contention: Contention | None = None,
         return_times: ReturnTimes | None = None,
+        paces: Mapping[EndpointId, Pace] = MappingProxyType({}),
     ) -> None:
         self._registry = registry
         self._carriers = carriers
@@ -119,6 +125,7 @@
         self._contention = contention or Contention()
         self._return_times = return_times or ReturnTimes()
         self._overflow = Overflow()
+        self.paces = Paces(registry, carriers, paces)
 
     @classmethod
     def from_counts(
@@ -140,6 +147,7 @@
             counts.cold_starts_s,
             Contention(counts.contention),
             ReturnTimes(counts.return_times_s),
+            counts.paces,
         )
 
     @property
@@ -158,6 +166,7 @@
             self._region_shares.records,
             self._contention.records,
             self._return_times.places_s,
+            self.paces.records,
         )
 
     def explain(
@@ -190,6 +199,7 @@
             "cold": endpoint.is_cold(now_s),
             "missing from the store": endpoint.missing_since_s is not None,
             "limit reached": self._rate_limits.wait_s(record, now_s) > 0,
+            "returns by and by": not self.paces.may_start(endpoint, now_s),
         }
         return Candidate(
             self._weigh(endpoint, now_s),
@@ -210,6 +220,7 @@
         self._cold_starts.forget_endpoint(endpoint_id)
         self._rate_limits.forget_endpoint(endpoint_id)
         self._return_times.forget_endpoint(endpoint_id)
+        self.paces.forget_endpoint(endpoint_id)
 
     def choose_endpoint(
         self, requirements: AttemptRequirements, spec: ServiceSpec, now_s: float
@@ -241,6 +252,7 @@
             weighed = (self._weigh(choice.endpoint, now_s),)
             return self._refuse(choice.endpoint, ErrorKind.SHIFT_CAP, requirements, weighed, now_s)
         shares.count_sent(service, region, now_s)
+        self.paces.count_start(choice.endpoint, now_s)
         self._rate_limits.count_request(choice.endpoint.record.id, now_s)
         return choice
 
@@ -293,7 +305,7 @@
             return self._refuse_limited(limited_s, requirements.jitter)
         usable = self._usable_endpoints(requirements)
         if not usable:
-            return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
+            return self._refuse_unusable(requirements)
         healthy = self._healthy_endpoints(usable, now_s)
         cold = [endpoint for endpoint in healthy or usable if endpoint.is_cold(now_s)]
         for rank, endpoint in enumerate(cold):
@@ -311,7 +323,7 @@
             if not free:
                 return self._refuse_limited(min(waits_s), requirements.jitter)
             return self._choose_warm(free, requirements, now_s)
-        return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
+        return self._refuse_unusable(requirements)
 
     def _find_overflow(
         self,
@@ -329,7 +341,10 @@
         ):
             return None
         ordered = islice(
-            self._placement.iterate_endpoints(service, requirements.object_key), MAX_OVERFLOW_RANK
+            self._placement.iterate_endpoints(
+                service, requirements.object_key, requirements.allowed_regions
+            ),
+            MAX_OVERFLOW_RANK,
         )
         usable = [
             endpoint
@@ -340,6 +355,7 @@
             and not endpoint.is_cold(now_s)
             and endpoint.missing_since_s is None
             and not self._rate_limits.wait_s(endpoint.record, now_s)
+            and self.paces.may_start(endpoint, now_s)
         ]
         spare = find_spare(usable, now_s)
         if spare is not None:
@@ -367,15 +383,17 @@
         """Returns the preferred endpoints of an object: its first healthy warm ones.
 
         Those that take no request of this daemon now because of a limit are passed over; returns
-        also the seconds until the first of them takes one, None if there are none.
+        also the seconds until the first of them takes one, None if there are none. Those whose
+        requests return by and by are passed over for others only.
         """
         use_missing = not self._registry.missing_count or not self._is_listed_enough(
             requirements, now_s
         )
         found: list[Endpoint] = []
+        paced: list[Endpoint] = []
         waits_s: list[float] = []
         for endpoint in self._placement.iterate_endpoints(
-            requirements.service, requirements.object_key
+            requirements.service, requirements.object_key, requirements.allowed_regions
         ):
             if (
                 now_s >= endpoint.excluded_until_s
@@ -386,11 +404,13 @@
                 wait_s = self._rate_limits.wait_s(endpoint.record, now_s)
                 if wait_s:
                     waits_s.append(wait_s)
+                elif not self.paces.may_start(endpoint, now_s):
+                    paced.append(endpoint)
                 else:
                     found.append(endpoint)
                 if len(found) == PREFERRED_ENDPOINTS or len(waits_s) == MAX_LIMITED:
                     break
-        return found, min(waits_s, default=None)
+        return found or paced, min(waits_s, default=None)
 
     def _is_listed_enough(self, requirements: AttemptRequirements, now_s: float) -> bool:
         """Returns whether the endpoints that are listed in the store can do without the others."""
@@ -404,7 +424,9 @@
 
     def _usable_endpoints(self, requirements: AttemptRequirements) -> list[Endpoint]:
         """Returns the endpoints that may serve an attempt, in the object's order of preference."""
-        ordered = self._placement.order_endpoints(requirements.service, requirements.object_key)
+        ordered = self._placement.order_endpoints(
+            requirements.service, requirements.object_key, requirements.allowed_regions
+        )
         return [endpoint for endpoint in ordered if self._is_usable(endpoint, requirements)]
 
     @staticmethod
@@ -544,6 +566,17 @@
         )
         return Refusal(kind, retry_after_s, weighed)
 
+    @staticmethod
+    def _refuse_unusable(requirements: AttemptRequirements) -> Refusal:
+        """Returns a refusal while no endpoint may serve an attempt, and nothing tells until when.
+
+        Callers of workspaces, whose homes go at once, don't return at once.
+        """
+        if requirements.workspace is None:
+            return Refusal(ErrorKind.NO_CAPACITY, MAX_RETRY_AFTER_S)
+        retry_after_s = spread_retry(MAX_RETRY_AFTER_S, requirements.jitter)
+        return Refusal(ErrorKind.NO_CAPACITY, retry_after_s)
+
     @staticmethod
     def _refuse_limited(wait_s: float, jitter: float) -> Refusal:
         """Returns a refusal until an endpoint takes a request of this daemon again."""
