Requests that wait for sockets are woken whenever a connection to an endpoint has ended

Seen in a trial (120 clients of ten kinds that come back without end, scratch script): after some seconds no attempt was under way, up to 27 requests waited, and an ordinary request got no answer in 20 s, twice in each of two plays. Cause: only an attempt that ended by itself woke the next waiter; a cancelled one, or an answer cut while it was sent on, woke none, and new requests queued behind. Change: the pool tells when a connection is lost, and a request that starts or stops waiting wakes too. Test (fails before): tests.gateway.test_short_memory.FewSockets.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -83,6 +83,7 @@
         holdings: Holdings,
     ) -> None:
         self._holdings = holdings
+        pool.on_lost = self._wake_waiter
         self._waiters: deque[asyncio.Future[None]] = deque()
         self._registry = registry
         self._pool = pool
@@ -163,6 +164,7 @@
             return True
         waiter = asyncio.get_running_loop().create_future()
         self._waiters.append(waiter)
+        self._wake_waiter()
         try:
             async with asyncio.timeout(SOCKET_WAIT_S):
                 await waiter
@@ -172,6 +174,7 @@
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
+            self._wake_waiter()
 
     def _wake_waiter(self) -> None:
         """Lets the request that has waited longest for a socket make its attempt."""
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -88,12 +88,12 @@
     `reused` is true if it has carried another request before the present one.
     `answer_begun` is true once any byte has arrived after the present request.
     `sending_body` is true while parts of the present request's body are still to be handed over.
-    Reading pauses when more than `high_water_bytes` of a body are buffered. While it is open, the
-    connection is in `open_connections`.
+    Reading pauses when more than `high_water_bytes` of a body are buffered. `pool` counts the
+    connection while it is open.
     """
 
-    def __init__(self, open_connections: set[Connection] | None = None) -> None:
-        self._open_connections = open_connections if open_connections is not None else set()
+    def __init__(self, pool: ConnectionPool | None = None) -> None:
+        self._pool = pool
         self.high_water_bytes = HIGH_WATER_BYTES
         self._transport: asyncio.Transport | None = None
         self._parser = httptools.HttpResponseParser(self)
@@ -130,7 +130,8 @@
         """Called by asyncio when the connection is open."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        self._open_connections.add(self)
+        if self._pool is not None:
+            self._pool.open_count += 1
         self._writable.set()
 
     def eof_received(self) -> bool:
@@ -169,7 +170,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by asyncio when the connection is closed; fails a request in progress."""
-        self._open_connections.discard(self)
+        if self._pool is not None:
+            self._pool.open_count -= 1
+            self._pool.on_lost()
         # These refer to the connection, which would otherwise stay until a collection.
         del self._parser
         self._accept_head = _accept_any
@@ -413,13 +416,14 @@
 class ConnectionPool:
     """Idle connections by address and port.
 
-    A new connection replaces one that is idle unless `has_room` returns true.
+    A new connection replaces one that is idle unless `has_room` returns true. `open_count` is the
+    number of connections that are open or being opened; `on_lost` is called when one has ended.
     """
 
     def __init__(self, local_address: str, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
         self.has_room: Callable[[], bool] = lambda: True
-        self._open: set[Connection] = set()
-        self._opening = 0
+        self.on_lost: Callable[[], None] = lambda: None
+        self.open_count = 0
         self._local_address = local_address
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[tuple[Address, int], deque[Connection]] = {}
@@ -449,17 +453,17 @@
         loop = asyncio.get_running_loop()
         if not self.has_room():
             self._close_one()
-        self._opening += 1
+        self.open_count += 1
         try:
             async with asyncio.timeout(self._connect_timeout_s):
                 _, protocol = await loop.create_connection(
-                    lambda: Connection(self._open),
+                    lambda: Connection(self),
                     address,
                     port,
                     local_addr=(self._local_address, 0),
                 )
         finally:
-            self._opening -= 1
+            self.open_count -= 1
         return protocol
 
     def _close_one(self) -> None:
@@ -472,11 +476,6 @@
         if oldest is not None:
             oldest.popleft().close()
 
-    @property
-    def open_count(self) -> int:
-        """The number of connections that are open or being opened."""
-        return len(self._open) + self._opening
-
     @property
     def idle_count(self) -> int:
         """The number of connections that are kept for later requests."""
--- a/tests/gateway/test_short_memory.py
+++ b/tests/gateway/test_short_memory.py
@@ -1,12 +1,15 @@
-"""What callers get while memory is short: true refusals, and answers that are whole or broken."""
+"""What callers get while memory or sockets are short: true refusals, whole or broken answers."""
 
 import asyncio
+from unittest.mock import patch
 
 from standins.servers import ReceivedRequest, build_answer, reset_connection
-from tests.gateway.deployment import TIMEOUT_S, DeploymentCase, request
+from tests.gateway.deployment import TIMEOUT_S, DeploymentCase, configuration, request
 
 # Memory of a machine on which a body and an answer of this size are too much.
 MEMORY_MB, SIZE = 2, 600_000
+# Descriptors of a machine, and callers of which not all can have sockets to endpoints.
+MAX_FDS, CALLERS = 300, 46
 
 
 class ShortMemory(DeploymentCase):
@@ -53,3 +56,34 @@
                         body = body[:size]
                 self.assertEqual(len(body) == SIZE, path == "/read/whole")
                 writer.close()
+
+
+class FewSockets(DeploymentCase):
+    # Guards against requests waiting for sockets that are free, since nobody wakes them.
+    @patch("lycheepin.gateway.attempt.SOCKET_WAIT_S", TIMEOUT_S)
+    async def test_requests_that_wait_for_sockets_get_those_of_callers_that_left(self) -> None:
+        async def script(received: ReceivedRequest) -> bytes:
+            await asyncio.Event().wait()
+            return b""
+
+        self.store.put("op/config", configuration(timeoutMs=60_000, targetLatencyMs=60_000))
+        endpoint = await self.add_endpoint("a", script, slots=1000)
+        gateway = await self.add_gateway(max_fds=MAX_FDS)
+        await self.wait_until_ready(gateway)
+        front = gateway.settings.front
+        opened = [await asyncio.open_connection(front.host, front.port) for _ in range(CALLERS)]
+        writers = [writer for _, writer in opened]
+        await self.wait_until(lambda: gateway.holdings.connections == CALLERS)
+        for number, writer in enumerate(writers):
+            writer.write(request(identifier=f"r{number}", Deadline_Ms="60000"))
+        await self.wait_until(lambda: gateway._caller_listener.in_flight == CALLERS)
+        sockets = gateway.holdings.count_endpoint_sockets()
+        self.assertLess(sockets, CALLERS)
+        await self.wait_until(lambda: len(endpoint.received_requests) == sockets)
+        sent = {received.headers["request-id"] for received in endpoint.received_requests}
+        for number, writer in enumerate(writers):
+            if f"r{number}" in sent:
+                writer.close()
+        await self.wait_until(lambda: len(endpoint.received_requests) == CALLERS)
+        for writer in writers:
+            writer.close()
