--- a/tests/steering/quota_replay.py
+++ b/tests/steering/quota_replay.py
@@ -38,6 +38,7 @@
         self.cut: set[DaemonName] = set()
         self.asleep: dict[DaemonName, float] = {}
         self.messages = 0
+        self.most_stock = 0.0
         self.admitted: defaultdict[str, list[float]] = defaultdict(list)
         self.refused: defaultdict[str, list[float]] = defaultdict(list)
         self._next_tick_s: dict[DaemonName, float] = {}
@@ -140,6 +141,14 @@
         """Returns how many requests of all workspaces were refused since a time."""
         return sum(time_s >= from_s for times in self.refused.values() for time_s in times)
 
+    def watch_stock(self, workspace: Workspace, until_s: float) -> None:
+        """Notes from now on how many tokens can be spent at all daemons at once."""
+        awake = [n for n in self.ledgers if self.now_s >= self.asleep.get(n, 0.0)]
+        stock = sum(self.ledgers[n].count_tokens(workspace.name, self.now_s) for n in awake)
+        self.most_stock = max(self.most_stock, stock)
+        if self.now_s < until_s:
+            self.at(self.now_s + TICK_S, self.watch_stock, workspace, until_s)
+
     def find_excess(self, workspace: Workspace) -> float:
         """Returns by how many requests the fullest window exceeds the bound; negative if none."""
         terms, times = self.terms, sorted(self.admitted[workspace.name])
