An attempt opens its connection only if there is a socket at that moment

Cause: whether a socket is free was asked once before the endpoint was chosen, and several requests of one turn of the event loop got the same answer before any of them had opened its connection. Change: the attempt asks again right before it opens, without a pause between, and waits in its old place if others were first; a second attempt asks too.

--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -70,6 +70,10 @@
 AttemptOutcome = EndpointAnswer | NotRun | OutcomeUnknown
 
 
+class NoSocket(Exception):
+    """No socket for an attempt has become free in time."""
+
+
 class AttemptRunner:
     """Makes attempts over pooled connections and reports their results to the registry."""
 
@@ -117,6 +121,8 @@
         watchdog: ResponseWatchdog | None = None
         try:
             async with asyncio.timeout_at(deadline_s) as timer:
+                if not await self.wait_for_socket():
+                    raise NoSocket
                 max_rest_s = self._idle_limits.max_rest_s(record.service, loop.time())
                 connection = await self._pool.acquire(record.address, record.port, max_rest_s)
                 started_s = loop.time()
@@ -139,6 +145,8 @@
                 self._idle_limits.observe_break(
                     record.service, connection.rested_s, loop.time() - started_s, loop.time()
                 )
+        except NoSocket:
+            outcome = NotRun(ErrorKind.NO_MEMORY, False)
         except asyncio.CancelledError:
             if connection is not None:
                 connection.close()
@@ -158,23 +166,34 @@
     async def wait_for_socket(self) -> bool:
         """Waits for a socket for an attempt, in the order of requests.
 
-        Returns False if none is free within SOCKET_WAIT_S.
+        Returns False if none is free within SOCKET_WAIT_S. The socket is not kept: the attempt has
+        to open its connection at once.
         """
         if self._holdings.admits_attempt and not self._waiters:
             return True
-        waiter = asyncio.get_running_loop().create_future()
-        self._waiters.append(waiter)
-        self._wake_waiter()
         try:
             async with asyncio.timeout(SOCKET_WAIT_S):
-                await waiter
+                await self._wait_in_turn()
             return True
         except TimeoutError:
             return False
+        finally:
+            self._wake_waiter()
+
+    async def _wait_in_turn(self) -> None:
+        """Waits until there is a socket and no other request has waited longer for it."""
+        waiter = asyncio.get_running_loop().create_future()
+        self._waiters.append(waiter)
+        self._wake_waiter()
+        try:
+            await waiter
+            while not self._holdings.admits_attempt:
+                waiter = asyncio.get_running_loop().create_future()
+                self._waiters.appendleft(waiter)
+                await waiter
         finally:
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-            self._wake_waiter()
 
     def _wake_waiter(self) -> None:
         """Lets the request that has waited longest for a socket make its attempt."""
