--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,7 +46,7 @@
     """
     ledger = RequestLedger(check_time_limits)
     needed = [SWITCHES[SWITCHES[s.name].needs] for s in switches if SWITCHES[s.name].needs]
-    from_start = {switch.name: switch.doses[0] for switch in needed}
+    from_start = {switch.name: switch.doses[-1] for switch in needed}
     from_start |= {s.name: s.dose for s in switches if SWITCHES[s.name].from_start}
     deployment = Deployment(seed, daemon_count, ledger, folder, from_start)
     tasks: list[asyncio.Task[None]] = []
--- a/standins/switches.py
+++ b/standins/switches.py
@@ -29,7 +29,7 @@
 
     `doses` are the values that a soak draws from; `unit` says what they are. A switch that
     `disturbs` excuses what takes longer meanwhile. One that is `from_start` can't change later.
-    `needs` is a switch that is on from the start wherever this one is.
+    `needs` is a switch that is on from the start, at its last dose, wherever this one is.
     """
 
     name: str
