--- a/tests/gateway/test_deadly_requests.py
+++ b/tests/gateway/test_deadly_requests.py
@@ -5,7 +5,7 @@
 import asyncio
 from unittest.mock import patch
 
-from lycheepin.gateway import suspicion_writer
+from lycheepin.gateway import process, suspicion_writer
 from lycheepin.gateway.process import Gateway
 from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
 from tests.gateway.deployment import DeploymentCase, configuration, request
@@ -197,8 +197,10 @@
         self.assertEqual(gateway.suspects.count, 0)
 
     async def test_popular_request_is_served_through_many_crashes(self) -> None:
+        self.store.put("op/config", configuration(timeoutMs=15_000))
         await self.add_crashing_endpoints(12)
-        gateways = await self.add_gateways(2)
+        with patch.object(process, "CONNECT_TIMEOUT_S", 10.0):
+            gateways = await self.add_gateways(2)
         for gateway in gateways:
             self.assertEqual((await self.send_request(gateway, request("/read/popular")))[0], 200)
         fingerprints = set()
