--- a/lycheepin/gateway/attempt.py
+++ b/lycheepin/gateway/attempt.py
@@ -121,7 +121,7 @@
         watchdog: ResponseWatchdog | None = None
         try:
             async with asyncio.timeout_at(deadline_s) as timer:
-                if not await self.wait_for_socket():
+                if not await self.wait_for_socket(deadline_s):
                     raise NoSocket
                 max_rest_s = self._idle_limits.max_rest_s(record.service, loop.time())
                 connection = await self._pool.acquire(record.address, record.port, max_rest_s)
@@ -163,16 +163,17 @@
         self._wake_waiter()
         return outcome
 
-    async def wait_for_socket(self) -> bool:
+    async def wait_for_socket(self, deadline_s: float) -> bool:
         """Waits for a socket for an attempt, in the order of requests.
 
-        Returns False if none is free within SOCKET_WAIT_S. The socket is not kept: the attempt has
-        to open its connection at once.
+        Returns False if none is free within SOCKET_WAIT_S and before the deadline. The socket isn't
+        kept: the attempt has to open its connection at once.
         """
         if self._holdings.admits_attempt and not self._waiters:
             return True
+        waits_until_s = asyncio.get_running_loop().time() + SOCKET_WAIT_S
         try:
-            async with asyncio.timeout(SOCKET_WAIT_S):
+            async with asyncio.timeout_at(min(waits_until_s, deadline_s)):
                 await self._wait_in_turn()
             return True
         except TimeoutError:
--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -164,7 +164,7 @@
         except BodyRefused:
             self._finish_with_error(request, progress, ErrorKind.NO_MEMORY, None)
             return
-        if not await self._attempt_runner.wait_for_socket():
+        if not await self._attempt_runner.wait_for_socket(progress.deadline_s):
             self._refuse_without_socket(request, progress)
             return
         progress.body_buffered = isinstance(body, WholeBody)
@@ -241,6 +241,8 @@
                 )
                 and (not progress.may_have_run or self._quotas.admit_copy(progress))
             ):
+                if isinstance(outcome, EndpointAnswer) and outcome.connection is not None:
+                    outcome.connection.close()
                 continue
             if isinstance(outcome, EndpointAnswer):
                 await self._forward_answer(request, progress, ended.choice.endpoint, outcome)
@@ -289,9 +291,9 @@
             if name.lower() != b"content-length" or request.method == b"HEAD"
         ]
         self._count_answer(request, progress, str(answer.head.status))
+        request.unread_limit_s = progress.route.timeout_s
         if answer.connection is None:
             self._observe_served(progress, answer.head.status)
-            request.unread_limit_s = progress.route.timeout_s
             request.respond(answer.head.status, headers, answer.body)
             return
         request.start_answer(answer.head.status, headers, answer.head.content_length)
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -16,7 +16,7 @@
 from lycheepin.steering.holdings import Stage
 from lycheepin.transport.headers import WHITESPACE
 from lycheepin.transport.incoming import BodyRefused, IncomingRequest
-from lycheepin.transport.process_limits import limit_unread_bytes
+from lycheepin.transport.process_limits import has_left, limit_unread_bytes
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 from lycheepin.transport.server import Server
 from lycheepin.transport.shared_buffer import SharedBufferProtocol
@@ -294,9 +294,9 @@
             self._close_after_answer()
 
     def _close_after_answer(self) -> None:
-        """Closes the connection; the rest of a body that is arriving is read and ignored before."""
+        """Closes the connection; bytes that are still arriving are read and ignored before."""
         self._closing = True
-        is_receiving = self._receiving is not None
+        is_receiving = self._receiving is not None or self._paused
         self._drop_requests()
         transport = self._transport
         if transport is None or transport.is_closing():
@@ -379,12 +379,15 @@
             self._server.end_largest()
 
     def check_progress(self, now_s: float) -> None:
-        """Cuts off a caller that has read nothing of its answer for too long.
+        """Cuts off a caller that has read nothing of its answer for too long, or that has left.
 
         Reading that waited for memory goes on once there is enough.
         """
         if self._transport is None or not (self._paused or self._unsent_bytes):
             return
+        if self._paused and has_left(self._transport):
+            self.abort()
+            return
         if self._paused and not self._closing:
             self.resume_reading(self._receiving.buffered_bytes if self._receiving else 0)
         unsent_bytes, before = self._transport.get_write_buffer_size(), self._unsent_bytes
@@ -392,6 +395,8 @@
             self._unsent_bytes = unsent_bytes
             self._active_since_s = now_s
             self.observe_held()
+        if self._current is not None and self._current.answered:
+            self._unread_limit_s = self._current.unread_limit_s
         limit_s = self._unread_limit_s or self._server.limits.idle_timeout_s
         if unsent_bytes and now_s - self._active_since_s > max(limit_s, MIN_UNREAD_LIMIT_S):
             self._server.on_evicted("unread", self)
--- a/lycheepin/transport/incoming.py
+++ b/lycheepin/transport/incoming.py
@@ -186,9 +186,11 @@
     def refuse_body(self) -> None:
         """Ends the wait for the body with BodyRefused, and forgets what has arrived.
 
-        The refusal may need some of the headers.
+        The refusal may need some of the headers. Requests behind it are forgotten with it, so the
+        connection is closed after the answer.
         """
         self.body_refused = True
+        self.keep_alive = False
         needed = dict(islice(self.headers_by_name.items(), MAX_REFUSED_HEADERS))
         self.release()
         self.headers_by_name = needed
@@ -205,7 +207,7 @@
         A caller that waits to be asked for the body is asked when it is first needed. Raises
         BodyRefused if the body is refused.
         """
-        while not self._content:
+        while self.body_refused or not self._content:
             if self.body_refused:
                 raise BodyRefused
             if self.body_complete:
@@ -262,6 +264,7 @@
         elif has_body:
             lines.append(b"Content-Length: %d" % (length or 0))
         if self._connection.closes_after(self):
+            self.keep_alive = False
             lines.append(b"Connection: close")
         self._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
 
--- a/lycheepin/transport/process_limits.py
+++ b/lycheepin/transport/process_limits.py
@@ -7,7 +7,10 @@
 import resource
 import socket
 
-__all__ = ["limit_unread_bytes", "read_descriptor_limit"]
+__all__ = ["has_left", "limit_unread_bytes", "read_descriptor_limit"]
+
+# States of a TCP connection that its peer has closed or reset (Linux, tcp_states.h).
+TCP_CLOSE, TCP_CLOSE_WAIT = 7, 8
 
 
 def read_descriptor_limit() -> int:
@@ -20,3 +23,13 @@
     connection = transport.get_extra_info("socket")
     with contextlib.suppress(OSError):  # the kernel's own limit holds then
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, unread_bytes)
+
+
+def has_left(transport: asyncio.Transport) -> bool:
+    """Returns whether the peer has closed a connection, which one that isn't read doesn't tell."""
+    connection = transport.get_extra_info("socket")
+    try:
+        state = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)[0]
+    except OSError:
+        return True
+    return state in (TCP_CLOSE, TCP_CLOSE_WAIT)
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -107,6 +107,19 @@
         with self.assertRaises((asyncio.IncompleteReadError, ConnectionError)):
             await self.send_request(gateway, request("/order/1", "POST"))
 
+    # Guards against sockets that stay counted, so that later requests wait for them in vain.
+    async def test_large_failure_that_is_tried_again_keeps_no_connection(self) -> None:
+        async def fail(received: ReceivedRequest) -> bytes:
+            return build_answer(received, 500, bytes(3_000_000))
+
+        endpoints = [await self.add_endpoint(name, fail) for name in "ab"]
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        self.assertEqual((await self.send_request(gateway, request()))[0], 500)
+        self.assertEqual([len(endpoint.received_requests) for endpoint in endpoints], [1, 1])
+        pool = gateway._pool
+        await self.wait_until(lambda: pool.open_count == pool.idle_count)
+
     async def test_malformed_or_unsigned_answer_is_answered_502(self) -> None:
         for content in (b"garbage\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"):
             with self.subTest(content):
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -8,7 +8,13 @@
 from lycheepin.steering.routes import CallerLimits
 from lycheepin.transport.listener import TIMEOUT_CHECK_S
 from standins.servers import EndpointStandIn, ReceivedRequest, build_answer
-from tests.gateway.deployment import TIMEOUT_S, DeploymentCase, read_answer, request
+from tests.gateway.deployment import (
+    TIMEOUT_S,
+    DeploymentCase,
+    configuration,
+    read_answer,
+    request,
+)
 
 H2C = {"Connection": "Upgrade, HTTP2-Settings", "Upgrade": "h2c", "HTTP2_Settings": "AAMAAABk"}
 
@@ -74,6 +80,41 @@
         writer.close()
 
     # Guards against a head that never ends being kept for the idle timeout.
+    # Guards against work for a caller whose leaving isn't seen, as its connection isn't read.
+    async def test_caller_that_leaves_with_many_requests_behind_is_noticed(self) -> None:
+        self.store.put("op/config", configuration(timeoutMs=60_000, targetLatencyMs=60_000))
+        endpoint, gateway, _ = await self._start_with_held_answers()
+        _, writer = await self._send_many(gateway)
+        await self.wait_until(lambda: endpoint.received_requests)
+        writer.close()
+        await self.wait_until(lambda: endpoint.aborted_requests)
+        await self.wait_until(lambda: not gateway._caller_listener.connections)
+
+    # Guards against an answer being lost to the reset by a socket that is closed with unread bytes.
+    async def test_connection_with_unread_requests_is_not_reset_after_its_last_answer(self) -> None:
+        _, gateway, may_answer = await self._start_with_held_answers()
+        reader, writer = await self._send_many(gateway)
+        writer.write(request(identifier="unread"))
+        await writer.drain()
+        gateway._caller_listener.closing = True
+        may_answer.set()
+        status, headers, _ = await read_answer(reader)
+        self.assertEqual((status, headers["connection"]), (200, "close"))
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertEqual(await reader.read(), b"")
+        writer.close()
+
+    async def _send_many(
+        self, gateway: Gateway
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Sends so many requests on a connection that it isn't read any more."""
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        writer.writelines(request(identifier=f"r{n}", Deadline_Ms="60000") for n in range(12))
+        connections = gateway._caller_listener.connections
+        await self.wait_until(lambda: any(connection._paused for connection in connections))
+        return reader, writer
+
     async def test_head_in_the_segment_of_another_request_has_the_header_timeout(self) -> None:
         await self.add_endpoint("a")
         gateway = await self.add_gateway()
--- a/tests/gateway/test_short_memory.py
+++ b/tests/gateway/test_short_memory.py
@@ -87,3 +87,17 @@
         await self.wait_until(lambda: len(endpoint.received_requests) == CALLERS)
         for writer in writers:
             writer.close()
+
+    # Guards against a request that waits for a socket being answered after its time has passed.
+    @patch("lycheepin.gateway.attempt.SOCKET_WAIT_S", 1000 * TIMEOUT_S)
+    async def test_wait_for_a_socket_ends_with_the_time_of_the_request(self) -> None:
+        gateway = await self.add_gateway(max_fds=MAX_FDS)
+        await self.wait_until_ready(gateway)
+        front = gateway.settings.front
+        reader, writer = await asyncio.open_connection(front.host, front.port)
+        await self.wait_until(lambda: gateway.holdings.connections == 1)
+        gateway._pool.open_count += MAX_FDS
+        writer.write(request(Deadline_Ms="50"))
+        async with asyncio.timeout(TIMEOUT_S):
+            self.assertIn(b" 503 ", await reader.readline())
+        writer.close()
