Connections that endpoints closed while idle are no longer counted as idle

They stayed in the pool until the next request to their endpoint, and were taken off the number of sockets in use: attempts were admitted that had no socket, and ending the oldest idle one gave none. Test failed before.

--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import math
 import socket
 from collections import deque
@@ -89,7 +90,7 @@
     `answer_begun` is true once any byte has arrived after the present request.
     `sending_body` is true while parts of the present request's body are still to be handed over.
     Reading pauses when more than `high_water_bytes` of a body are buffered. `pool` counts the
-    connection while it is open.
+    connection while it is open; `target` is where it has kept it, if it has.
     """
 
     def __init__(self, pool: ConnectionPool | None = None) -> None:
@@ -122,6 +123,7 @@
         self.answer_begun = False
         self.sending_body = False
         self.close_after_use = False
+        self.target: tuple[Address, int] | None = None
         self.idle_since_s = 0.0
         self.rested_s = 0.0
         self.idle_limit_s = IDLE_LIMIT_S
@@ -172,6 +174,7 @@
         """Called by asyncio when the connection is closed; fails a request in progress."""
         if self._pool is not None:
             self._pool.open_count -= 1
+            self._pool.forget(self)
             self._pool.on_lost()
         # These refer to the connection, which would otherwise stay until a collection.
         del self._parser
@@ -507,8 +510,15 @@
             connection.close()
             return
         connection.idle_since_s = asyncio.get_running_loop().time()
+        connection.target = (address, port)
         idle.append(connection)
 
+    def forget(self, connection: Connection) -> None:
+        """Removes a connection that has ended from those that are kept."""
+        if connection.target is not None:
+            with contextlib.suppress(ValueError):
+                self._idle.get(connection.target, deque()).remove(connection)
+
     def discard(self, address: Address, port: int) -> None:
         """Closes all idle connections to an address and port that are no longer in use."""
         for connection in self._idle.pop((address, port), ()):
--- a/tests/transport/test_connection.py
+++ b/tests/transport/test_connection.py
@@ -100,3 +100,22 @@
         self.assertEqual(second.rested_s, 0.0)
         self.assertFalse(first.reusable)
         pool.release(HOST, port, second)
+
+    # Guards against room for sockets being counted on that ending them wouldn't give.
+    async def test_connection_that_its_endpoint_has_closed_is_not_counted_as_idle(self) -> None:
+        async def close(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await may_close.wait()
+            writer.close()
+
+        may_close = asyncio.Event()
+        server = await asyncio.start_server(close, HOST, 0)
+        port = server.sockets[0].getsockname()[1]
+        pool = ConnectionPool(HOST)
+        pool.release(HOST, port, await pool.open(HOST, port))
+        self.assertEqual((pool.open_count, pool.idle_count), (1, 1))
+        may_close.set()
+        async with asyncio.timeout(20.0):
+            while pool.open_count:
+                await asyncio.sleep(0.01)
+        self.assertEqual(pool.idle_count, 0)
+        server.close()
