A head that waits since its connection isn't read has no timeout

Requests are parsed in slices of 1 KiB, so that a pause behind many of them leaves a head that has begun. Its header timeout went on, and the requests behind the running ones were dropped. Test failed before.

--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -258,6 +258,8 @@
 
     def _continue_reading(self) -> None:
         """Parses the bytes that were kept, then reads further ones unless reading pauses again."""
+        if self.head_since_s is not None:
+            self.head_since_s = self._loop.time()
         self._parse_unparsed()
         if not self._paused and self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
@@ -421,6 +423,11 @@
         """When the last byte was sent or received, or when the connection became idle."""
         return self.idle_since_s if self.stage is Stage.IDLE else self._active_since_s
 
+    @property
+    def is_reading(self) -> bool:
+        """Whether the connection is read; a head that has begun makes no progress otherwise."""
+        return not self._paused
+
     @property
     def _waits_for_memory(self) -> bool:
         """Whether no more of a body is taken because memory is short."""
--- a/lycheepin/transport/listener.py
+++ b/lycheepin/transport/listener.py
@@ -197,7 +197,7 @@
     def _check_connection(self, connection: CallerConnection, now_s: float) -> None:
         """Closes a connection that exceeds a timeout."""
         connection.check_progress(now_s)
-        head_since_s = connection.head_since_s
+        head_since_s = connection.head_since_s if connection.is_reading else None
         if head_since_s is not None and now_s - head_since_s > self.limits.header_timeout_s:
             connection.refuse_request(408)
         elif connection.is_idle and now_s - connection.idle_since_s > self.limits.idle_timeout_s:
--- a/tests/gateway/test_listener_requests.py
+++ b/tests/gateway/test_listener_requests.py
@@ -104,6 +104,21 @@
             self.assertEqual(await reader.read(), b"")
         writer.close()
 
+    # Guards against a caller being blamed for a head that waits since its connection isn't read.
+    async def test_head_that_waits_behind_many_requests_has_not_timed_out(self) -> None:
+        _, gateway, may_answer = await self._start_with_held_answers()
+        gateway._caller_listener.limits = CallerLimits(header_timeout_s=TIMEOUT_CHECK_S / 2)
+        statuses: list[int] = []
+        gateway._caller_listener.on_refused = statuses.append
+        reader, writer = await self._send_many(gateway)
+        await asyncio.sleep(3 * TIMEOUT_CHECK_S)
+        may_answer.set()
+        for number in range(12):
+            status, headers, _ = await read_answer(reader)
+            self.assertEqual((status, headers["request-id"]), (200, f"r{number}"))
+        self.assertEqual(statuses, [])
+        writer.close()
+
     async def _send_many(
         self, gateway: Gateway
     ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
