--- a/lycheepin/steering/contention.py
+++ b/lycheepin/steering/contention.py
@@ -43,12 +43,10 @@
 # are chosen by estimates of their load.
 PRIORITY_GAIN = 5.0
 TOLERATED_LACK = 0.2
-# Fraction of its requests by which a lower priority may be served more often than a higher one, the
-# growth of the room that is kept beyond, and the most that is kept then: 1 is the waiting room and
-# the slots that are kept for requests within shares.
+# Fraction of its requests by which a lower priority may be served more often than a higher one,
+# and the growth of the room that is kept beyond.
 ORDER_MARGIN = 0.02
-ORDER_GAIN = 30.0
-MAX_ORDER_KEPT = 1.5
+ORDER_GAIN = 10.0
 
 # Endpoints of one service in one region.
 _Group = tuple[ServiceName, RegionName]
@@ -206,11 +204,11 @@
     higher, least_served = _Count(), 1.0
     for priority in sorted(priorities):
         count = priorities[priority]
-        part = min(MAX_ORDER_KEPT, ORDER_GAIN * (count.served - least_served - ORDER_MARGIN))
+        part = ORDER_GAIN * (count.served - least_served - ORDER_MARGIN)
         if has_workspaces:
-            part = max(part, min(1.0, PRIORITY_GAIN * (higher.lack - TOLERATED_LACK)))
+            part = max(part, PRIORITY_GAIN * (higher.lack - TOLERATED_LACK))
         if part > 0:
-            kept[priority] = part
+            kept[priority] = min(1.0, part)
         if count.demand >= MIN_REQUESTS:
             least_served = min(least_served, count.served)
         higher.sent, higher.unplaced = higher.sent + count.sent, higher.unplaced + count.unplaced
