--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -102,6 +102,7 @@
             self.rate_limits,
             RegionShares(settings.region, settings.max_shift),
         )
+        self._dispatcher.paces.is_enabled = settings.paces_returns
         self._pool = ConnectionPool(settings.host, CONNECT_TIMEOUT_S)
         self.holdings = Holdings(
             Machine.from_limits(settings.memory_mb, settings.max_fds or read_descriptor_limit())
--- a/lycheepin/gateway/settings.py
+++ b/lycheepin/gateway/settings.py
@@ -60,7 +60,8 @@
     the store live for `min_lease_s` at least. Of the requests from a region at most the part
     `max_shift` may change the region in which they run within seconds; None: any. `memory_mb` and
     `max_fds` are the machine's memory and descriptors; 0: the defaults of `Machine`.
-    Daemons exchange tokens of quotas on the UDP port `exchange_port`, 0 if they don't.
+    Daemons exchange tokens of quotas on the UDP port `exchange_port`, 0 if they don't. With
+    `paces_returns`, requests return by and by to endpoints that have started or recovered.
     """
 
     name: DaemonName
@@ -89,3 +90,4 @@
     max_fds: int = 0
     quota_terms: QuotaTerms = QuotaTerms()
     exchange_port: int = 0
+    paces_returns: bool = False
--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import os
 import tomllib
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import Any
 
 from lycheepin.decoding import parse_assignments
@@ -23,6 +25,8 @@
 _APPLY_BOUNDS = ("configApplyMs", "drainTimeoutMs", "evacuationMs")
 _QUOTA_BOUNDS = (("quotaWindowS", 5.0), ("quotaOver", 0.1), ("quotaSlack", 20.0))
 MS_PER_S = 1000
+# Environment variable that is "on" where requests return by and by to endpoints that were away.
+PACE_VARIABLE = "LYCHEEPIN_PACE"
 
 
 class SettingsError(ValueError):
@@ -36,7 +40,8 @@
             document = tomllib.load(file)
     except (OSError, tomllib.TOMLDecodeError) as error:
         raise SettingsError(f"{path}: {error}") from error
-    return decode_settings(document)
+    paces_returns = os.environ.get(PACE_VARIABLE, "") == "on"
+    return replace(decode_settings(document), paces_returns=paces_returns)
 
 
 def decode_settings(document: Mapping[str, Any]) -> GatewaySettings:
--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -179,6 +179,7 @@
         counts = self.copy_counts(now_s)
         copy = self.from_counts(self._carriers.own, self._registry, self.own_region, counts)
         copy._overflow = deepcopy(self._overflow)
+        copy.paces.is_enabled = self.paces.is_enabled
         ordered = copy._placement.order_endpoints(requirements.service, requirements.object_key)
         candidates = tuple(copy._describe(each, requirements, now_s) for each in ordered)
         return copy.choose_endpoint(requirements, spec, now_s), candidates
--- a/lycheepin/steering/pace.py
+++ b/lycheepin/steering/pace.py
@@ -108,7 +108,8 @@
 class Paces:
     """One daemon's limits at all endpoints of services that report their slowness.
 
-    `paces` are those of the dispatcher that this one's is a copy of.
+    `paces` are those of the dispatcher that this one's is a copy of. Nothing is limited while
+    `is_enabled` is false.
     """
 
     def __init__(
@@ -119,6 +120,7 @@
     ) -> None:
         self._registry = registry
         self._carriers = carriers
+        self.is_enabled = True
         self._paces = {endpoint_id: replace(pace) for endpoint_id, pace in paces.items()}
 
     @property
@@ -162,7 +164,7 @@
     def _find(self, endpoint: Endpoint) -> Pace | None:
         """Returns the limit at an endpoint that binds; a new one after each pause."""
         record = endpoint.record
-        if endpoint.removed or not endpoint.resumes_at_s:
+        if not self.is_enabled or endpoint.removed or not endpoint.resumes_at_s:
             return None
         if not self._registry.is_uneven(record.service):
             return None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -1,6 +1,7 @@
 import pathlib
 import tempfile
 import unittest
+from unittest.mock import patch
 
 from lycheepin.platform.settings import SettingsError, load_settings
 from lycheepin.steering.quota_shares import QuotaTerms
@@ -48,6 +49,12 @@
         self.assertEqual(settings.exchange_port, 7660)  # type: ignore[attr-defined]
         self.assertEqual((settings.memory_mb, settings.max_fds), (300.0, 4100))  # type: ignore
 
+    def test_pace_of_returning_endpoints_is_off_unless_the_environment_says_on(self) -> None:
+        for environment, expected in (({}, False), ({"LYCHEEPIN_PACE": "on"}, True)):
+            with patch.dict("os.environ", environment):
+                settings = self._load(SETTINGS)
+            self.assertEqual(settings.paces_returns, expected)  # type: ignore[attr-defined]
+
     def test_bounds_may_be_one_string_separated_by_commas(self) -> None:
         start = SETTINGS.index("bounds")
         end = SETTINGS.index("\n", start)
--- a/tests/steering/test_pace.py
+++ b/tests/steering/test_pace.py
@@ -79,7 +79,7 @@
         assert isinstance(choice, SelectedEndpoint)
         return choice.endpoint
 
-    def _return(self, reports_slowness: bool) -> list[bool]:
+    def _return(self, reports_slowness: bool, is_enabled: bool = True) -> list[bool]:
         """Returns which of the requests after the pause go to the endpoint that is back."""
         if reports_slowness:
             self.first.observe_slowness(0.0, 1.0)
@@ -89,6 +89,7 @@
         )
         region = self.dispatcher.own_region
         self.dispatcher = Dispatcher.from_counts(OWN, self.registry, region, counts)
+        self.dispatcher.paces.is_enabled = is_enabled
         return [self._choose(2.0 + number * 0.1) is self.first for number in range(3)]
 
     def test_other_endpoints_get_what_is_beyond_its_pace(self) -> None:
@@ -97,6 +98,9 @@
     def test_endpoints_that_report_three_figures_return_at_once(self) -> None:
         self.assertEqual(self._return(False), [True, True, True])
 
+    def test_where_it_is_off_endpoints_return_at_once(self) -> None:
+        self.assertEqual(self._return(True, is_enabled=False), [True, True, True])
+
     def test_explaining_a_choice_counts_nothing(self) -> None:
         self._return(True)
         before = self.dispatcher.copy_counts(9.0)
