--- a/lycheepin/steering/contention.py
+++ b/lycheepin/steering/contention.py
@@ -16,7 +16,7 @@
 from collections import deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
-from math import inf, isfinite, sqrt
+from math import inf, isfinite
 from typing import NamedTuple
 
 from lycheepin.names import RegionName, ServiceName, WorkspaceName
@@ -202,25 +202,19 @@
     """
     kept: dict[int, float] = {}
     higher, least_served = _Count(), 1.0
-    sampling_error = 0.0
     for priority in sorted(priorities):
         count = priorities[priority]
-        part = ORDER_GAIN * (count.served - least_served - ORDER_MARGIN - sampling_error)
+        part = ORDER_GAIN * (count.served - least_served - ORDER_MARGIN)
         if has_workspaces:
             part = max(part, PRIORITY_GAIN * (higher.lack - TOLERATED_LACK))
         if part > 0:
             kept[priority] = min(1.0, part)
-        if count.demand >= MIN_REQUESTS and count.served < least_served:
-            least_served, sampling_error = count.served, _estimate_error(count)
+        if count.demand >= MIN_REQUESTS:
+            least_served = min(least_served, count.served)
         higher.sent, higher.unplaced = higher.sent + count.sent, higher.unplaced + count.unplaced
     return kept
 
 
-def _estimate_error(count: _Count) -> float:
-    """Returns the standard deviation of the fraction that is served, of so many requests."""
-    return sqrt(count.served * (1 - count.served) / count.demand)
-
-
 @dataclass(frozen=True)
 class ContentionRecord:
     """What is counted for one group of endpoints, as a value.
