--- a/lycheepin/steering/overflow.py
+++ b/lycheepin/steering/overflow.py
@@ -22,14 +22,14 @@
 WINDOW_S = 2.0
 BIN_S = 0.25
 # Largest part of the attempts in a window that overflows.
-MAX_PART = 0.25
+MAX_PART = 0.5
 # Part of the attempts in a window that is refused, above which nothing overflows.
-MAX_REFUSED_PART = 0.1
+MAX_REFUSED_PART = 0.3
 # Part of an endpoint's slots up to which it takes an overflow.
 SPARE_FRACTION = 0.5
 # Requests at an endpoint for each slot, up to which late attempts may wait there, and how often the
 # expected time to their answer has to be left to the deadline.
-MAX_QUEUE = 2.0
+MAX_QUEUE = 3.0
 LATE_MARGIN = 1.5
 
 
