--- a/lycheepin/steering/dispatch.py
+++ b/lycheepin/steering/dispatch.py
@@ -347,17 +347,15 @@
             ),
             MAX_OVERFLOW_RANK,
         )
-        usable = [
+        usable = (
             endpoint
             for endpoint in ordered
             if endpoint not in preferred
-            and self._is_usable(endpoint, requirements)
-            and now_s >= endpoint.excluded_until_s
-            and not endpoint.is_cold(now_s)
+            and self._is_usable_warm(endpoint, requirements, now_s)
             and endpoint.missing_since_s is None
             and not self._rate_limits.wait_s(endpoint.record, now_s)
             and self.paces.may_start(endpoint, now_s)
-        ]
+        )
         spare = find_spare(usable, now_s)
         if spare is not None:
             endpoint, index = spare
@@ -396,11 +394,8 @@
         for endpoint in self._placement.iterate_endpoints(
             requirements.service, requirements.object_key, requirements.allowed_regions
         ):
-            if (
-                now_s >= endpoint.excluded_until_s
-                and not endpoint.is_cold(now_s)
-                and (use_missing or endpoint.missing_since_s is None)
-                and self._is_usable(endpoint, requirements)
+            if (use_missing or endpoint.missing_since_s is None) and self._is_usable_warm(
+                endpoint, requirements, now_s
             ):
                 wait_s = self._rate_limits.wait_s(endpoint.record, now_s)
                 if wait_s:
@@ -451,6 +446,16 @@
             and (not requirements.allowed_regions or record.region in requirements.allowed_regions)
         )
 
+    def _is_usable_warm(
+        self, endpoint: Endpoint, requirements: AttemptRequirements, now_s: float
+    ) -> bool:
+        """Returns whether an endpoint may serve an attempt and is neither excluded nor cold."""
+        return (
+            now_s >= endpoint.excluded_until_s
+            and not endpoint.is_cold(now_s)
+            and self._is_usable(endpoint, requirements)
+        )
+
     def _choose_warm(
         self, candidates: Sequence[Endpoint], requirements: AttemptRequirements, now_s: float
     ) -> Choice:
