--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,55 +1,64 @@
-"""A backend that leaves ends while it sends answers without a length."""
+"""The last tenant is removed from the configuration; requests with any key should be refused."""
 
 from __future__ import annotations
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "lib2"))
 
-from bed import Bed, build_config, run_case  # noqa: E402
+from bed import BOUNDS, Bed, build_config, run_case  # noqa: E402
 
-ZONES = {"gc-mixco": "guatemala-central"}
-SIZE = 30_000
-REQUESTS = 5
-# All of an answer takes 3.6 s, less than the route's time of 4 s; the backend serves 3.0 s
-# (drainTimeoutMs) and 0.2 s after the store has accepted its report.
-TARGET = f"/restock/list?work=200&size={SIZE}&first=12000&pause=3400&length=0"
-DRAIN_S = 3.0
-LITTLE_LONGER_S = 0.2
+ZONES = {"suva-a": "viti-levu"}
+KEY = "key-of-alpha-1"
+UNKNOWN = "key-that-nobody-held"
+REQUESTS = 4
 
 
 async def play(bed: Bed, trouble: bool) -> list[str]:
-    config = build_config(
-        {"restock": {"host": "media.example", "prefix": "/restock/", "kind": "idempotent",
-                     "service": "recetario"}},
-        ("recetario",),
+    routes = {"lodge": {"host": "media.example", "prefix": "/lodge/", "kind": "non_idempotent",
+                        "service": "lodgement-desk"}}
+    tenant = {"apiKeys": [KEY], "priority": 0, "ratePerS": 0, "burst": 0, "homeRegions": []}
+    await bed.start_store(
+        build_config(routes, ("lodgement-desk",), version=1, tenants={"alpha": tenant})
     )
-    await bed.start_store(config)
-    host = bed.start_gateway(0, ZONES, "gc-mixco")
+    host = bed.start_gateway(0, ZONES, "suva-a")
     address = bed.start_backend("i-1")
-    bed.register("i-1", address, "recetario", "gc-mixco")
+    bed.register("i-1", address, "lodgement-desk", "suva-a")
     await bed.wait_ready(host)
     await asyncio.sleep(1.0)
-    warm = await bed.send(host, "/restock/list?size=100", "warm", 4000)
-    if warm.status != 200:
+
+    async def send(request_id: str, key: str) -> int:
+        answer = await bed.send(host, "/lodge/1", request_id, 2578, "POST",
+                                headers=(f"Authorization: Bearer {key}",), body=b"correction")
+        return answer.status
+
+    if await send("before-known", KEY) != 200 or await send("before-unknown", UNKNOWN) != 401:
         raise RuntimeError("the deployment doesn't serve")
-    sends = [
-        asyncio.create_task(bed.send(host, TARGET, f"r{n}", 15_000)) for n in range(REQUESTS)
-    ]
-    await asyncio.sleep(0.1)
-    if trouble:
-        bed.register("i-1", address, "recetario", "gc-mixco", state="draining", sequence=2)
-        await asyncio.sleep(DRAIN_S + LITTLE_LONGER_S)
-        bed.send_signal("i-1", signal.SIGKILL)
-    answers = await asyncio.gather(*sends)
-    return [
-        f"MIXED: r{n} got {a.status} with a signature, complete, with {len(a.body)} of {SIZE} bytes"
-        for n, a in enumerate(answers)
-        if a.is_complete and 200 <= a.status < 300 and len(a.body) != SIZE
-    ]
+    # Without the trouble, a second tenant comes and all the other keys stay away.
+    tenants = {} if trouble else {"beta": tenant | {"apiKeys": ["key-of-beta-1"]}}
+    config = build_config(routes, ("lodgement-desk",), version=2, tenants=tenants)
+    bed.store.put("op/config", config)
+    bed.note(event="configuration", config=config)
+    await asyncio.sleep(BOUNDS["configApplyMs"] / 1000 + 1.0)
+    for number in range(REQUESTS):
+        await send(f"removed-{number}", KEY)
+        await send(f"unknown-{number}", UNKNOWN)
+    violations = []
+    for run in (line for line in bed.read_runs() if line["event"] == "run"):
+        kind = run["request"].partition("-")[0]
+        passed_on = run["headers"].get("authorization")
+        if kind == "unknown":
+            violations.append(f"ROUTE: {run['request']} ran, whose key no configuration ever held")
+        if kind == "removed":
+            violations.append(
+                f"CONFIG: {run['request']} ran {BOUNDS['configApplyMs'] / 1000 + 1:.0f} s after"
+                " the configuration that dropped its key"
+            )
+        if kind in ("unknown", "removed") and passed_on:
+            violations.append(f"UNASKED: {run['request']}: its key itself was passed on")
+    return violations
 
 
 raise SystemExit(run_case(str(pathlib.Path(__file__).parent), play))
--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -74,6 +74,7 @@
         self._started_s = time.monotonic()
         self.backend_log = self._folder / "backends.log"
         self.backend_log.touch()
+        self._born: dict[str, int] = {}
 
     @staticmethod
     def _find_port(host: str) -> int:
@@ -172,11 +173,12 @@
     def register(
         self, identifier: str, address: tuple[str, int], service: str, zone: str, **changes: Any
     ) -> None:
-        """Writes the entry of a backend, as it would itself."""
+        """Writes the entry of a backend, as it would itself; it says the same start each time."""
+        born = self._born.setdefault(identifier, int(time.time() * 1000))
         entry = {
             "service": service, "address": f"{address[0]}:{address[1]}", "zone": zone,
             "version": "v1", "slots": 6, "state": "ready", "coldRemainingMs": 0, "sequence": 1,
-            "born": int(time.time() * 1000),
+            "born": born,
         } | changes
         self.store.put(f"servers/{identifier}", entry)
         self.note(event="entry", backend=identifier, **entry)
