--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -96,19 +96,26 @@
         self.store.put("op/config", config)
         self.note(event="configuration", config=config)
 
-    def start_gateway(self, number: int, zones: dict[str, str], zone: str, **limits: Any) -> str:
+    def start_gateway(
+        self,
+        number: int,
+        zones: dict[str, str],
+        zone: str,
+        bounds: dict[str, float] = BOUNDS,
+        **limits: Any,
+    ) -> str:
         """Starts a gateway process; returns its address."""
         host = f"{self.net}.{10 + number}"
         machine = {"cpuShare": 0.86, "cores": 1, "memoryMb": 300, "maxFds": 4100,
                    "linkMbps": 1000.0, "diskMb": 0} | limits
-        bounds = ",".join(f'"{name}={value}"' for name, value in BOUNDS.items())
+        texts = ",".join(f'"{name}={value}"' for name, value in bounds.items())
         lines = [
             f'nodeName = "edge-{zone}-{number}"', 'role = "gateway"', 'machineClass = "edge"',
             'serves = ["edge","directory","control_plane"]', f'ip = "{host}"', f'zone = "{zone}"',
             f'region = "{zones[zone]}"', "innerPortRange = [7660,7675]",
             f'seeds = ["{self.net}.10:{CONTROL}"]', "bootstrap = true",
             "includeInTolerance = false", 'discovery = "platform"', 'entry = "directory"',
-            "heartbeatIntervalMs = 1500", f"bounds = [{bounds}]",
+            "heartbeatIntervalMs = 1500", f"bounds = [{texts}]",
             "[zones]", *(f'{name} = "{region}"' for name, region in zones.items()),
             "[listen]", f'front = "{host}:{FRONT}"', f'ready = "{host}:{READY}"',
             f'control = "{host}:{CONTROL}"', f'directory = "{host}:{DIRECTORY}"',
