--- a/review/five-2.sh
+++ b/review/five-2.sh
@@ -5,13 +5,13 @@
 for number in "$@"; do
     statuses=
     for run in 1 2 3 4 5; do
-        sh "$number/run.sh" > /dev/null 2>&1
+        "./$number/run.sh" > /dev/null 2>&1
         statuses="$statuses $?"
     done
     cp "$number/record.txt" "$number/record.keep"
     calm=
     for run in 1 2; do
-        TROUBLE=0 sh "$number/run.sh" > /dev/null 2>&1
+        TROUBLE=0 "./$number/run.sh" > /dev/null 2>&1
         calm="$calm $?"
     done
     mv "$number/record.keep" "$number/record.txt"
--- a/review/lib2/bed.py
+++ b/review/lib2/bed.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -29,7 +30,7 @@
 from standins.metadata import MetadataStandIn  # noqa: E402
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
-FRONT, READY, CONTROL, DIRECTORY = 8144, 8140, 8146, 8143
+FRONT, READY, CONTROL, DIRECTORY, METRICS = 8144, 8140, 8146, 8143, 9464
 START_S = 20.0
 BOUNDS = {
     "seedLagS": 3, "reuseAfterS": 2, "settleWindowMs": 4000, "ackTimeoutMs": 6000, "catchUpS": 6,
@@ -44,6 +45,21 @@
     """The case could not be set up."""
 
 
+def pick_network() -> str:
+    """Returns the start of a loopback network on which the ports of the gateways are free."""
+    for _ in range(50):
+        net = f"127.{random.randint(2, 250)}.{random.randint(1, 250)}"
+        try:
+            for number in range(10, 14):
+                for port in (FRONT, READY, CONTROL, DIRECTORY, METRICS):
+                    with socket.socket() as probe:
+                        probe.bind((f"{net}.{number}", port))
+        except OSError:
+            continue
+        return net
+    raise CannotRun("no loopback network has free ports")
+
+
 @dataclass
 class Answer:
     """What a client saw; `end` says how it ended."""
@@ -66,8 +82,7 @@
         self.record_path = folder / "record.txt"
         self._record = open(self.record_path, "w", encoding="utf-8")
         self._folder = pathlib.Path(tempfile.mkdtemp(prefix="case-"))
-        number = os.getpid() % 60000
-        self.net = f"127.{80 + number // 250 % 150}.{number % 250}"
+        self.net = pick_network()
         self.store = MetadataStandIn()
         self.store_address = f"{self.net}.1", self._find_port(f"{self.net}.1")
         self._processes: list[subprocess.Popen[bytes]] = []
@@ -334,7 +349,11 @@
 def run_case(folder: str, case: Any) -> int:
     """Runs `case(bed, trouble)`, which returns the violations; returns the exit status."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    bed = Bed(pathlib.Path(folder).resolve())
+    try:
+        bed = Bed(pathlib.Path(folder).resolve())
+    except (OSError, CannotRun) as error:
+        print(f"could not run: {error!r}")
+        return NOT_RUN
     bed.note(event="begin", trouble=trouble)
 
     async def play() -> list[str]:
