An empty table of workspaces means that no key is valid

Cause: the decoder took an empty table of workspaces for a missing one (`if document.get("tenants")`), which is a deployment without workspaces.

The log couldn't tell an empty table from none; the `configuration` line now has the number of workspaces.

Only a missing table opens; null, other types and routes whose weights are all 0 are refused, and the version before stays in force.

--- a/lycheepin/gateway/deployment_state.py
+++ b/lycheepin/gateway/deployment_state.py
@@ -39,12 +39,18 @@
         self.on_suspicions_listed: Callable[[frozenset[str]], None] = lambda keys: None
 
     def apply_configuration(self, table: RoutingTable) -> None:
-        """Puts a configuration in force; ignored unless its version is later."""
+        """Puts a configuration in force; ignored unless its version is later.
+
+        The log line has the number of workspaces, or null where requests need no keys.
+        """
         if self.table is not None and table.version <= self.table.version:
             return
         self.table = table
         routes = sum(len(host_routes) for host_routes in table.by_host.values())
-        self._log.write("configuration", version=table.version, routes=routes)
+        workspaces = len(table.workspaces.by_name) if table.workspaces is not None else None
+        self._log.write(
+            "configuration", version=table.version, routes=routes, workspaces=workspaces
+        )
         self.on_configuration(table)
 
     def set_evacuation(self, zone: ZoneName, active: bool) -> None:
--- a/lycheepin/platform/entries.py
+++ b/lycheepin/platform/entries.py
@@ -5,14 +5,11 @@
 
 from __future__ import annotations
 
-import json
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
-from typing import Any
 
-import msgspec
 from msgspec import Struct
 
 from lycheepin.decoding import (
@@ -20,7 +17,6 @@
     Count,
     Milliseconds,
     OptionalText,
-    Quantity,
     SlotCount,
     Text,
     create_decoder,
@@ -42,18 +38,10 @@
     EvacuationEntry,
     UnreadableEntry,
 )
-from lycheepin.names import EndpointId, RegionName, ServiceName, WorkspaceName, ZoneName
+from lycheepin.names import EndpointId, RegionName, ServiceName, ZoneName
+from lycheepin.platform.configurations import decode_configuration
 from lycheepin.steering.endpoint import EndpointRecord
-from lycheepin.steering.routes import (
-    CallerLimits,
-    RequestKind,
-    Route,
-    RoutingTable,
-    ServiceShare,
-    ServiceSpec,
-)
 from lycheepin.steering.suspects import Suspicion
-from lycheepin.steering.workspaces import Workspace, WorkspaceKeys
 
 __all__ = ["HEADER_NAMES", "decode_entry", "parse_key"]
 
@@ -61,12 +49,6 @@
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
 MS_PER_S = 1000
-# Timeout in seconds of routes that set none; longer than any deadline of their callers.
-DEFAULT_TIMEOUT_S = 60.0
-# Maximum number of attempts of routes that set none.
-DEFAULT_ATTEMPTS = 1
-# Kinds of routes whose requests may run more than once.
-REPEATABLE_KINDS = ("idempotent", "download")
 
 HEADER_NAMES = HeaderNames(
     request_id=b"request-id",
@@ -80,7 +62,7 @@
     workspace=b"tenant",
 )
 
-_ENDPOINT_NAME = _WORKSPACE_NAME = re.compile(r"[!-~]{1,200}")
+_ENDPOINT_NAME = re.compile(r"[!-~]{1,200}")
 
 
 class _EndpointState(Enum):
@@ -107,16 +89,6 @@
 _decode_endpoint_fields = create_decoder(_EndpointFields)
 
 
-class _WorkspaceFields(Struct, rename="camel"):
-    """Fields of a workspace in the configuration."""
-
-    api_keys: list[str] = []
-    priority: Count | None = None
-    rate_per_s: Quantity | None = None
-    burst: Quantity | None = None
-    home_regions: list[Text] | None = None
-
-
 @dataclass(frozen=True)
 class EntryKey:
     """A parsed key: the type of its entry, and the name after the key's prefix."""
@@ -152,7 +124,7 @@
         return EvacuationEntry(ZoneName(entry_key.name))
     try:
         if entry_key.kind is ConfigurationEntry:
-            return ConfigurationEntry(_decode_configuration(json.loads(value)))
+            return ConfigurationEntry(decode_configuration(value))
         if entry_key.kind is DaemonEntry:
             return DaemonEntry(decode_daemon(entry_key.name, value))
         if entry_key.kind is Suspicion:
@@ -162,84 +134,6 @@
         return UnreadableEntry(f"{key}: {error!r}"[:MAX_REASON])
 
 
-def _decode_configuration(document: Any) -> RoutingTable:
-    """Returns the routing table; `routes` and `services` are objects keyed by name."""
-    services = {
-        ServiceName(name): ServiceSpec(
-            ServiceName(name),
-            str(service["healthPath"]),
-            int(service["maxConnections"]),
-            float(service["coldStartS"]),
-            float(service["coldPerS"]),
-        )
-        for name, service in document["services"].items()
-    }
-    routes = [_decode_route(name, route) for name, route in document["routes"].items()]
-    limits = document["limits"]
-    return RoutingTable.from_routes(
-        int(document["version"], 16),
-        routes,
-        services,
-        CallerLimits(
-            int(limits["maxHeaderBytes"]),
-            int(limits["maxBodyBytes"]),
-            limits["headerTimeoutMs"] / MS_PER_S,
-            limits["idleTimeoutMs"] / MS_PER_S,
-        ),
-        _decode_workspaces(document["tenants"]) if document.get("tenants") else None,
-    )
-
-
-def _decode_workspaces(table: Any) -> WorkspaceKeys:
-    """Returns the workspaces with their keys; the table has them by name."""
-    decoded = {
-        WorkspaceName(name): msgspec.convert(fields, _WorkspaceFields)
-        for name, fields in table.items()
-    }
-    if not all(_WORKSPACE_NAME.fullmatch(name) for name in decoded):
-        raise ValueError("a workspace has a name that no header can carry")
-    return WorkspaceKeys.from_keys(
-        (
-            Workspace(
-                name,
-                fields.priority,
-                fields.rate_per_s or 0.0,
-                fields.burst or 0.0,
-                frozenset(RegionName(region) for region in fields.home_regions or ()),
-            ),
-            fields.api_keys,
-        )
-        for name, fields in decoded.items()
-    )
-
-
-def _decode_route(name: str, route: Any) -> Route:
-    """Returns one route; kinds other than the repeatable ones are treated as protected."""
-    split = route.get("trafficSplit")
-    if split:
-        shares = tuple(
-            ServiceShare(ServiceName(part["service"]), float(part["weight"])) for part in split
-        )
-    else:
-        shares = (ServiceShare(ServiceName(route["service"]), 1.0),)
-    idempotent = route["kind"] in REPEATABLE_KINDS
-    timeout_ms = route.get("timeoutMs")
-    return Route(
-        name=name,
-        host=str(route["host"]),
-        prefix=str(route["prefix"]),
-        kind=RequestKind.IDEMPOTENT if idempotent else RequestKind.PROTECTED,
-        timeout_s=timeout_ms / MS_PER_S if timeout_ms else DEFAULT_TIMEOUT_S,
-        target_s=route["targetLatencyMs"] / MS_PER_S,
-        priority=int(route.get("priority", 0)),
-        shares=shares,
-        max_attempts=int(route.get("maxAttempts") or DEFAULT_ATTEMPTS),
-        sticky=bool(route.get("sessionAffinity")),
-        allowed_regions=frozenset(RegionName(region) for region in route.get("homeRegions") or ()),
-        is_public=route.get("public") is True,
-    )
-
-
 def _decode_endpoint(
     name: str, value: bytes, zones: Mapping[ZoneName, RegionName]
 ) -> EndpointRecord:
--- a/lycheepin/steering/routes.py
+++ b/lycheepin/steering/routes.py
@@ -92,7 +92,8 @@
 class RoutingTable:
     """The routes of one version by their host in lower case, and its services and limits.
 
-    `workspaces` is None in a deployment without workspaces, whose requests carry no keys.
+    `workspaces` is None only in a deployment without workspaces, whose requests carry no keys; one
+    whose last workspace was removed has a table without any, and no key is valid.
     """
 
     version: int
@@ -110,9 +111,14 @@
         limits: CallerLimits,
         workspaces: WorkspaceKeys | None = None,
     ) -> RoutingTable:
-        """Returns a table of routes, which matches longer prefixes first."""
+        """Returns a table of routes, which matches longer prefixes first.
+
+        Raises ValueError for a route that goes to no service.
+        """
         by_host: dict[str, list[Route]] = {}
         for route in routes:
+            if not any(share.weight > 0 for share in route.shares):
+                raise ValueError(f"route {route.name!r} goes to no service")
             by_host.setdefault(route.host.lower(), []).append(route)
         ordered = {
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
--- a/lycheepin/steering/workspaces.py
+++ b/lycheepin/steering/workspaces.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 
@@ -15,6 +16,8 @@
 
 # Scheme of the credentials that carry a key, in lower case.
 _SCHEME = b"bearer"
+# Names that a header can carry to the endpoints.
+_NAME = re.compile(r"[!-~]{1,200}")
 
 
 @dataclass(frozen=True)
@@ -37,7 +40,8 @@
 class WorkspaceKeys:
     """The workspaces of one version of the configuration, by name and by key.
 
-    A key that several workspaces hold identifies none of them.
+    A key that several workspaces hold identifies none of them. Without any workspace, every key is
+    unknown.
     """
 
     by_name: Mapping[WorkspaceName, Workspace]
@@ -45,11 +49,16 @@
 
     @classmethod
     def from_keys(cls, keys: Iterable[tuple[Workspace, Iterable[str]]]) -> WorkspaceKeys:
-        """Returns the workspaces with their keys; empty keys are left out."""
+        """Returns the workspaces with their keys; empty keys are left out.
+
+        Raises ValueError for a name that no header can carry.
+        """
         by_name: dict[WorkspaceName, Workspace] = {}
         by_key: dict[bytes, Workspace] = {}
         shared: set[bytes] = set()
         for workspace, own_keys in keys:
+            if not _NAME.fullmatch(workspace.name):
+                raise ValueError("a workspace has a name that no header can carry")
             by_name[workspace.name] = workspace
             for text in own_keys:
                 key = text.encode(errors="surrogatepass")
--- a/tests/gateway/test_workspaces.py
+++ b/tests/gateway/test_workspaces.py
@@ -85,6 +85,30 @@
         await self.wait_until(lambda: self.gateway.state.table.version == 3)
         self.assertEqual(await self.ask("/read/1", "Authorization: Bearer alpha-1"), 401)
 
+    # Guards against any key being served, and passed on, once no workspace is left (review/8).
+    async def test_without_any_workspace_every_key_is_unknown(self) -> None:
+        follower = await self.add_gateway("daemon-2", seeds=(self.gateway.settings.control,))
+        await self.wait_until_ready(follower)
+        self.store.put("op/config", build_configuration(2) | {"tenants": {}})
+        for gateway in (self.gateway, follower):
+            await self.wait_until(lambda g=gateway: g.state.table.version == 2)
+            for key in ("alpha-1", "nobody"):
+                content = build_request("/read/1", f"Authorization: Bearer {key}")
+                status, _, _ = await self.send_request(gateway, content)
+                self.assertEqual(status, 401)
+        self.assertEqual(self.endpoint.received_requests, [])
+        self.assertEqual(await self.ask("/open/1", "Authorization: Bearer alpha-1"), 200)
+        self.assertNotIn("authorization", self.endpoint.received_requests[-1].headers)
+
+    # Guards against a malformed table of workspaces replacing the one in force.
+    async def test_malformed_workspaces_leave_the_version_before_in_force(self) -> None:
+        self.store.put("op/config", build_configuration(2) | {"tenants": None})
+        self.store.put("op/evacuate/south-1", {})
+        await self.wait_until(lambda: self.gateway.registry.evacuated_zones)
+        self.assertEqual(self.gateway.state.table.version, 1)
+        self.assertEqual(await self.ask("/read/1", "Authorization: Bearer nobody"), 401)
+        self.assertEqual(await self.ask("/read/1", "Authorization: Bearer alpha-1"), 200)
+
     async def test_homes_of_route_and_workspace_both_bind(self) -> None:
         self.assertEqual(await self.ask("/read/1", "Authorization: Bearer beta-1"), 503)
         south = await self.add_endpoint("two", zone="south-1")
