A connection is closed once its peer has taken everything

Cause: closing a socket with unread bytes resets the connection, and so does a byte that arrives later; the kernel drops what the peer hasn't taken. Behind an answer that closes, the connection was closed at once unless a body was still arriving. The same function ended it after refusals, early answers and answers given while no socket is left; the idle timeout and the stop closed resting connections whose last answer still lay in the kernel, and the stop aborted the connections of the other listeners.

Change: one way to end a connection (transport/graceful_close.py): the stream ends, what still arrives is dropped, and the connection is closed when the peer has taken everything and closed its side. It may take as long as it makes progress, measured by what its kernel has confirmed; a stop bounds all of it by the grace period. A resting connection with nothing in flight is closed as before, so that a request that crosses the close is seen not to be read. Listener.close_connections is the one way to stop a listener.

--- a/lycheepin/daemon/server.py
+++ b/lycheepin/daemon/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import hmac
 import json
+import math
 import socket
 from collections.abc import Awaitable, Callable
 from http import HTTPStatus
@@ -37,8 +38,6 @@
     header_timeout_s=10.0,
     idle_timeout_s=30.0,
 )
-# Interval in seconds of the checks whether the answers of a server that closes are sent.
-CLOSE_CHECK_S = 0.02
 LOOPBACK_PREFIXES = ("127.", "::1")
 
 
@@ -64,13 +63,8 @@
 
     async def close(self, at_once: bool) -> None:
         """Stops accepting connections; waits for the answers being sent unless `at_once`."""
-        self._listener.closing = True
-        self._listener.stop_listening()
-        self._listener.close_idle_connections()
-        while self._listener.is_busy and not at_once:
-            await asyncio.sleep(CLOSE_CHECK_S)
-        for connection in list(self._listener.connections):
-            connection.abort()
+        loop = asyncio.get_running_loop()
+        await self._listener.close_connections(loop.time() if at_once else math.inf)
 
     async def _answer(self, incoming: IncomingRequest) -> None:
         """Answers one request."""
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -49,8 +49,6 @@
 MAX_CACHED_LIFETIMES = 3
 # Timeout in seconds for connecting to an endpoint; a round trip between regions takes 0.08 s.
 CONNECT_TIMEOUT_S = 0.5
-# Interval in seconds of the checks whether a draining daemon has requests in flight.
-DRAIN_CHECK_S = 0.05
 # Limit for the body of a call to this daemon; no such call needs a body.
 MAX_CALL_BODY_BYTES = 1024
 
@@ -346,10 +344,8 @@
         self.log.write("draining", in_flight=self._caller_listener.in_flight)
         deregistration = self._loop.create_task(self._platform.deregister())
         await asyncio.sleep(drain.listens_until_s - self._loop.time())
-        self._caller_listener.stop_listening()
-        self._caller_listener.close_idle_connections()
-        while self._caller_listener.is_busy and self._loop.time() < drain.ends_s:
-            await asyncio.sleep(DRAIN_CHECK_S)
+        await self._caller_listener.close_connections(drain.ends_s)
+        await self._management_listener.close_connections(drain.ends_s)
         deregistration.cancel()
 
 
--- a/lycheepin/transport/caller_connection.py
+++ b/lycheepin/transport/caller_connection.py
@@ -14,9 +14,15 @@
 import httptools
 
 from lycheepin.steering.holdings import Stage
+from lycheepin.transport.graceful_close import GracefulClose
 from lycheepin.transport.headers import WHITESPACE
 from lycheepin.transport.incoming import BodyRefused, IncomingRequest
-from lycheepin.transport.process_limits import has_left, limit_unread_bytes
+from lycheepin.transport.process_limits import (
+    count_undelivered_bytes,
+    has_left,
+    has_unread_bytes,
+    limit_unread_bytes,
+)
 from lycheepin.transport.progress_limit import EndlessElement, ProgressLimit
 from lycheepin.transport.server import Server
 from lycheepin.transport.shared_buffer import SharedBufferProtocol
@@ -38,9 +44,6 @@
 # Limit on an element of a request that has not ended, beyond the limit on its whole head: the size
 # and extension of a chunk, and the parser's reading in slices.
 ELEMENT_MARGIN_BYTES = 16 * 1024
-# Time in seconds for which a caller that is still sending may go on after the last answer on its
-# connection. Closing a connection with unread bytes resets it, and the answer would be lost.
-LINGER_S = 5.0
 # Least time in seconds for which an answer may stay unread.
 MIN_UNREAD_LIMIT_S = 3.0
 
@@ -66,9 +69,10 @@
         self._writable.set()
         self._paused = False
         self._unparsed = b""
-        self._unsent_bytes = 0
+        self._unsent_bytes = self._undelivered_bytes = 0
         self._unread_limit_s: float | None = None
         self._closing = False
+        self._graceful_close: GracefulClose | None = None
         self._refused = False
         self._repeats_head = False
         self._head_bytes = self._head_fields = 0
@@ -91,6 +95,8 @@
         self._server.connections.discard(self)
         self._server.holdings.remove(self)
         self._transport = None
+        if self._graceful_close is not None:
+            self._graceful_close.cancel()
         self._drop_requests()
         # These refer to the connection, which would otherwise stay until a collection.
         del self._parser, self._parsing
@@ -111,6 +117,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Passes bytes to the parser, or keeps them while reading is paused."""
+        if self._graceful_close is not None:
+            self._graceful_close.drop(data)
+            return
         if self._closing or self._refused:
             return
         self._active_since_s = self._loop.time()
@@ -265,7 +274,9 @@
             self._transport.resume_reading()
 
     def write(self, data: bytes) -> None:
-        """Writes bytes to the transport; ignored if it is closing."""
+        """Writes bytes to the transport; ignored if the connection is ending."""
+        if self._graceful_close is not None:
+            return
         if self._transport is not None and not self._transport.is_closing():
             if not self.has_unsent_bytes:
                 self._active_since_s = self._loop.time()
@@ -296,21 +307,25 @@
             self._close_after_answer()
 
     def _close_after_answer(self) -> None:
-        """Closes the connection; bytes that are still arriving are read and ignored before."""
+        """Ends the connection once the caller has taken what was sent."""
         self._closing = True
         is_receiving = self._receiving is not None or self._paused
         self._drop_requests()
-        transport = self._transport
-        if transport is None or transport.is_closing():
-            return
-        if not is_receiving:
-            transport.close()
+        if self._transport is None or self._transport.is_closing():
             return
-        transport.write_eof()
-        if self._paused:
-            self._paused = False
-            transport.resume_reading()
-        self._loop.call_later(LINGER_S, transport.close)
+        self._paused = False
+        self._graceful_close = GracefulClose(
+            self._transport,
+            self._find_unread_limit_s(),
+            is_receiving,
+            lambda: self._server.on_evicted("unread", self),
+            self._observe_delivery,
+        )
+
+    def _observe_delivery(self) -> None:
+        """Records that the caller has taken a part of its answer."""
+        self._active_since_s = self._loop.time()
+        self.observe_held()
 
     def abort(self) -> None:
         """Closes the connection immediately, discarding unsent data."""
@@ -383,26 +398,47 @@
     def check_progress(self, now_s: float) -> None:
         """Cuts off a caller that has read nothing of its answer for too long, or that has left.
 
-        Reading that waited for memory goes on once there is enough.
+        Reading that waited for memory goes on once there is enough. A connection that is ending
+        checks itself.
         """
         if self._transport is None or not (self._paused or self._unsent_bytes):
             return
+        if self._graceful_close is not None:
+            return
         if self._paused and has_left(self._transport):
             self.abort()
             return
-        if self._paused and not self._closing:
+        if self._paused:
             self.resume_reading(self._receiving.buffered_bytes if self._receiving else 0)
-        unsent_bytes, before = self._transport.get_write_buffer_size(), self._unsent_bytes
-        if unsent_bytes != before:
-            self._unsent_bytes = unsent_bytes
-            self._active_since_s = now_s
-            self.observe_held()
         if self._current is not None and self._current.answered:
             self._unread_limit_s = self._current.unread_limit_s
-        limit_s = self._unread_limit_s or self._server.limits.idle_timeout_s
-        if unsent_bytes and now_s - self._active_since_s > max(limit_s, MIN_UNREAD_LIMIT_S):
+        if self._has_stopped_reading(self._transport, now_s) and self.has_unsent_bytes:
+            self._server.on_evicted("unread", self)
+            self.abort()
+
+    def close_expired(self, now_s: float) -> None:
+        """Closes a connection that has been idle for too long.
+
+        Its caller may still take the last answer; it is cut off when it has stopped to.
+        """
+        if self._transport is not None and self._has_stopped_reading(self._transport, now_s):
             self._server.on_evicted("unread", self)
             self.abort()
+        else:
+            self.close_if_idle()
+
+    def _has_stopped_reading(self, transport: asyncio.Transport, now_s: float) -> bool:
+        """Returns whether the caller has taken nothing of its answer for too long."""
+        undelivered_bytes = count_undelivered_bytes(transport)
+        if undelivered_bytes != self._undelivered_bytes:
+            self._undelivered_bytes = undelivered_bytes
+            self._observe_delivery()
+        return undelivered_bytes > 0 and now_s - self._active_since_s > self._find_unread_limit_s()
+
+    def _find_unread_limit_s(self) -> float:
+        """Returns for how long the caller may take nothing of its answer, in seconds."""
+        limit_s = self._unread_limit_s or self._server.limits.idle_timeout_s
+        return max(limit_s, MIN_UNREAD_LIMIT_S)
 
     @property
     def stage(self) -> Stage:
@@ -414,6 +450,8 @@
                 return Stage.RUNNING
         if self.has_unsent_bytes:
             return Stage.ANSWER
+        if self._graceful_close is not None and self._graceful_close.undelivered_bytes:
+            return Stage.ANSWER
         if self._current is not None and not self._closing:
             return Stage.RUNNING
         return Stage.IDLE if self.head_since_s is None else Stage.HEAD
@@ -449,9 +487,9 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read, queued or handled, or the last one is answered."""
+        """Whether no request is being read, queued, handled or answered."""
         is_waiting = self._current is None and not self._queue and self.head_since_s is None
-        return is_waiting or self._closing
+        return is_waiting and not self._closing
 
     @property
     def has_unsent_bytes(self) -> bool:
@@ -459,8 +497,14 @@
         return self._transport is not None and self._transport.get_write_buffer_size() > 0
 
     def close_if_idle(self) -> None:
-        """Closes the connection if it is idle."""
-        if self.is_idle and self._transport is not None:
+        """Closes the connection if it is idle.
+
+        It isn't while the caller hasn't taken the last answer, or the next request has arrived. One
+        that crosses the close is not read, which the caller sees: the connection is reset.
+        """
+        if self._transport is None or not self.is_idle:
+            return
+        if not (count_undelivered_bytes(self._transport) or has_unread_bytes(self._transport)):
             self._transport.close()
 
     def _pause_reading(self) -> None:
--- a/lycheepin/transport/listener.py
+++ b/lycheepin/transport/listener.py
@@ -25,6 +25,8 @@
 BACKLOG = 1024
 # Interval in seconds of the checks for timed-out connections.
 TIMEOUT_CHECK_S = 0.25
+# Interval in seconds of the checks for idle connections of a listener that closes.
+CLOSE_CHECK_S = 0.02
 # Connections accepted before others are served.
 MAX_ACCEPTED_AT_ONCE = 64
 # Retry-After, in seconds, of a request that is refused because memory is short.
@@ -169,17 +171,24 @@
             for holder in self.holdings.choose_stalled(now_s):
                 holder.evict("stalled")
 
-    @property
-    def is_busy(self) -> bool:
-        """Whether a request is being read, queued, handled or answered on any connection."""
-        return any(
-            not connection.is_idle or connection.has_unsent_bytes for connection in self.connections
-        )
-
-    def close_idle_connections(self) -> None:
-        """Closes all idle connections."""
+    async def close_connections(self, until_s: float) -> None:
+        """Accepts no connections any more and closes each once it is idle.
+
+        Returns when none is left, or at `until_s` in the event loop's time; the connections that
+        are left then are aborted. Their timeouts apply until then.
+        """
+        self.closing = True
+        self.stop_listening()
+        loop = asyncio.get_running_loop()
+        while True:
+            for connection in list(self.connections):
+                self._check_connection(connection, loop.time())
+                connection.close_if_idle()
+            if not self.connections or loop.time() >= until_s:
+                break
+            await asyncio.sleep(CLOSE_CHECK_S)
         for connection in list(self.connections):
-            connection.close_if_idle()
+            connection.abort()
 
     async def close_expired_connections(self) -> None:
         """Closes connections that exceed the header or idle timeout; runs indefinitely."""
@@ -201,4 +210,4 @@
         if head_since_s is not None and now_s - head_since_s > self.limits.header_timeout_s:
             connection.refuse_request(408)
         elif connection.is_idle and now_s - connection.idle_since_s > self.limits.idle_timeout_s:
-            connection.close_if_idle()
+            connection.close_expired(now_s)
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -98,8 +98,8 @@
     Mutant(
         "hand-over: a planned stop doesn't wait for running requests",
         "gateway/process.py",
-        "while self._caller_listener.is_busy and self._loop.time() < drain.ends_s:",
-        "while False:",
+        "await self._caller_listener.close_connections(drain.ends_s)",
+        "await self._caller_listener.close_connections(0.0)",
     ),
     Mutant(
         "budgets: each daemon spends the whole budget of retries",
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -7,12 +7,40 @@
 from lycheepin.gateway.process import Gateway
 from standins.servers import ReceivedRequest, build_answer
 from tests.gateway.deployment import DeploymentCase, configuration, read_answer, request
+from tests.transport.slow_clients import Reader, open_client, read_answers
 
 # Times in seconds after the start of a stop: shortly before and after the daemon stops listening.
 LAST_CONNECTION_S = 2.7
 LATE_S = 3.3
 
 
+class PipelinedRequestDuringAStop(DeploymentCase):
+    # Guards against the request behind an answer that closes its connection resetting it: the
+    # client got a part of the answer (review/9).
+    async def test_pipelined_request_cuts_no_answer_during_a_stop(self) -> None:
+        size = 540_000
+
+        async def script(received: ReceivedRequest) -> bytes:
+            await asyncio.sleep(0.2)
+            return build_answer(received, body=b"x" * size)
+
+        await self.add_endpoint("a", script)
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        loop = asyncio.get_running_loop()
+        client = await open_client(gateway.settings.front.port, 32 * 1024)
+        self.addCleanup(client.close)
+        await loop.sock_sendall(client, request("/read/1", "GET", "r1"))
+        await self.wait_until(lambda: self.endpoints[0].received_requests)
+        gateway.stop()
+        await self.wait_until(lambda: gateway.metrics.value("answers", "200"))
+        await loop.sock_sendall(client, request("/read/2", "GET", "r2"))
+        content = await read_answers(client, Reader(delay_s=0.3))
+        head, _, body = content.partition(b"\r\n\r\n")
+        self.assertIn(b"Connection: close", head)
+        self.assertEqual(len(body), size)
+
+
 class LateRequestIsPassedOnAndCutAtTheEndOfAStop(DeploymentCase):
     async def _start(self, answer_s: float) -> Gateway:
         """Starts a gateway and an endpoint that answers after `answer_s` seconds."""
