Small parts of a body are joined, and the answers to calls fit the machine

What operators saw elsewhere: bytes without end from a faulty backend took the memory of the machine that had called it. Here: a daemon on a machine of 80 MB grew to 171 MB while its store sent chunks of two bytes without end, and to 83 MB while 80 callers that read nothing asked an endpoint for them.

Cause: each part of a body was an object of its own, some 40 bytes for two, and only the bytes of the body were counted. The limit on the answer to a call was 16 MiB on every machine, with several calls at a time.

Change: small parts are joined where they arrive; the answer to a call may have 1/32 of the memory, from 4 to 16 MiB.

--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -48,7 +48,7 @@
     def create_tasks(self, gateway: Gateway) -> list[Coroutine[Any, Any, None]]:
         """Returns the tasks that follow the store, keep this daemon's entry and watch settings."""
         settings = gateway.settings
-        http_client = HttpClient(settings.host)
+        http_client = HttpClient(settings.host, gateway.holdings.machine.call_bytes)
         store = self._store = MetadataStore(http_client, settings.store, settings.min_lease_s)
         reader = self._reader = PlatformReader(gateway.state, settings.zones)
         synchronizer = StoreSynchronizer(store, reader, http_client, gateway.replica, gateway)
--- a/lycheepin/steering/holdings.py
+++ b/lycheepin/steering/holdings.py
@@ -31,6 +31,10 @@
 # Part of the memory that the kernel may hold for a connection that isn't read, and its bounds.
 UNREAD_SHARE = 1 / 4096
 MIN_UNREAD_BYTES, MAX_UNREAD_BYTES = 16 * 1024, 4 * MB
+# Part of the memory that the answer to one of the process's own calls may have, and its bounds. The
+# store's page of a listing has about 1 MB (PROTOCOL.md, "The platform's metadata store").
+CALL_SHARE = 1 / 32
+MIN_CALL_BYTES, MAX_CALL_BYTES = 4 * MB, 16 * MB
 # Sockets that are kept for the store, other daemons and listeners, and at least this part of them.
 # Of the rest, the least part that is kept for endpoints.
 RESERVED_SOCKETS = 24
@@ -99,6 +103,11 @@
         share = int(self.memory_bytes * UNREAD_SHARE)
         return min(max(share, MIN_UNREAD_BYTES), MAX_UNREAD_BYTES)
 
+    @property
+    def call_bytes(self) -> int:
+        """The bytes that the answer to a call of the process's own may have."""
+        return min(max(int(self.memory_bytes * CALL_SHARE), MIN_CALL_BYTES), MAX_CALL_BYTES)
+
 
 class Holdings:
     """Bytes and sockets that a process holds, by holder.
--- a/lycheepin/transport/calls.py
+++ b/lycheepin/transport/calls.py
@@ -11,13 +11,14 @@
 
 __all__ = ["CallAnswer", "CallFailure", "HttpClient"]
 
+# Largest body of an answer, in bytes, of a process whose machine is not known.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 # Maximum time in seconds to read the body of an answer: 5 MB over a link of 5 Mbit/s.
 MAX_BODY_S = 8.0
 
 
 class _OversizedAnswer(BrokenAnswer):
-    """The body of an answer is larger than MAX_ANSWER_BYTES."""
+    """The body of an answer is larger than the client takes."""
 
 
 @dataclass(frozen=True)
@@ -39,7 +40,7 @@
 
     `silent_s` is the time in seconds for which the peer had shown no sign of life: all of the
     call's time if it timed out, 0 if the connection was refused or closed. `too_large` is true if
-    the answer had more than MAX_ANSWER_BYTES.
+    the answer was larger than the client takes.
     """
 
     sent: bool
@@ -49,10 +50,14 @@
 
 
 class HttpClient:
-    """Makes calls over pooled connections. Each call is sent once, without retries."""
+    """Makes calls over pooled connections. Each call is sent once, without retries.
 
-    def __init__(self, local_address: str) -> None:
+    The body of an answer may have `max_answer_bytes`.
+    """
+
+    def __init__(self, local_address: str, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
         self._pool = ConnectionPool(local_address)
+        self._max_answer_bytes = max_answer_bytes
 
     async def call(
         self,
@@ -80,7 +85,7 @@
                 connection = await self._pool.acquire(address, port)
                 connection.send_request_head(head + body)
                 answer = await connection.head()
-                content = await _read_all(connection, timer, timeout_s)
+                content = await _read_all(connection, timer, timeout_s, self._max_answer_bytes)
                 await self._pool.check_end(address, port, connection)
         except (BrokenAnswer, OSError, TimeoutError) as error:
             if connection is not None:
@@ -103,20 +108,18 @@
 
 
 async def _read_all(
-    connection: Connection, timer: asyncio.Timeout, chunk_timeout_s: float
+    connection: Connection, timer: asyncio.Timeout, chunk_timeout_s: float, max_bytes: int
 ) -> bytes:
-    """Returns the whole body; raises BrokenAnswer when it is incomplete or too large.
+    """Returns the whole body; raises BrokenAnswer when it is incomplete or exceeds `max_bytes`.
 
     Each chunk extends the timeout to `chunk_timeout_s` from then, up to MAX_BODY_S in total.
     """
     loop = asyncio.get_running_loop()
     end_s = loop.time() + MAX_BODY_S
-    chunks: list[bytes] = []
-    received_bytes = 0
+    content = bytearray()
     async for chunk in connection.body():
-        received_bytes += len(chunk)
-        if received_bytes > MAX_ANSWER_BYTES:
-            raise _OversizedAnswer(f"body is larger than {MAX_ANSWER_BYTES} bytes")
-        chunks.append(chunk)
+        if len(content) + len(chunk) > max_bytes:
+            raise _OversizedAnswer(f"body is larger than {max_bytes} bytes")
+        content += chunk
         timer.reschedule(min(end_s, loop.time() + chunk_timeout_s))
-    return b"".join(chunks)
+    return bytes(content)
--- a/lycheepin/transport/connection.py
+++ b/lycheepin/transport/connection.py
@@ -29,6 +29,10 @@
 # Buffered bytes of a body at which reading from the socket pauses, and resumes.
 HIGH_WATER_BYTES = 256 * 1024
 LOW_WATER_BYTES = 64 * 1024
+# Size below which parts of a body are joined, and size of the joined part: an object for each chunk
+# of a few bytes would take many times their memory.
+SMALL_PART_BYTES = 1024
+JOINED_PART_BYTES = 16 * 1024
 MAX_HEADER_BYTES = 64 * 1024
 # Limit on an element of an answer that has not ended, and on interim heads before an answer.
 MAX_ELEMENT_BYTES = 64 * 1024
@@ -103,7 +107,7 @@
         self._head: asyncio.Future[AnswerHead] | None = None
         self._headers: Headers = []
         self._header_bytes = 0
-        self._chunks: deque[bytes] = deque()
+        self._chunks: deque[bytes | bytearray] = deque()
         self._buffered_bytes = 0
         self._body_changed: asyncio.Event = asyncio.Event()
         self._writable: asyncio.Event = asyncio.Event()
@@ -261,12 +265,23 @@
         self._progress_limit.record_progress()
         if self._extra_message or self._no_body or self._skipping_answer:
             return
-        self._chunks.append(body)
+        self._buffer_part(body)
         self._buffered_bytes += len(body)
         if self._buffered_bytes > self.high_water_bytes and self._transport is not None:
             self._transport.pause_reading()
         self._body_changed.set()
 
+    def _buffer_part(self, part: bytes) -> None:
+        """Buffers a part of the body; small parts are joined."""
+        if len(part) >= SMALL_PART_BYTES:
+            self._chunks.append(part)
+            return
+        last = self._chunks[-1] if self._chunks else None
+        if isinstance(last, bytearray) and len(last) < JOINED_PART_BYTES:
+            last += part
+        else:
+            self._chunks.append(bytearray(part))
+
     def on_message_complete(self) -> None:
         """Called by the parser; ends the answer, unless the message is interim or skipped."""
         if self._extra_message or self._complete or _is_interim(self._parser.get_status_code()):
@@ -391,7 +406,7 @@
         """Yields the body in chunks; raises BrokenAnswer when it is incomplete."""
         while True:
             while self._chunks:
-                chunk = self._chunks.popleft()
+                chunk = bytes(self._chunks.popleft())
                 self._buffered_bytes -= len(chunk)
                 if self._buffered_bytes < LOW_WATER_BYTES and self._transport is not None:
                     self._transport.resume_reading()
--- a/tests/transport/test_endless_answers.py
+++ b/tests/transport/test_endless_answers.py
@@ -72,6 +72,24 @@
         self.assertIsInstance(await client.call(HOST, port, "GET", "/"), CallFailure)
 
 
+class SmallChunks(unittest.IsolatedAsyncioTestCase):
+    # Guards against a body in tiny chunks taking many times its size: a process of 80 MB grew to
+    # 171 MB while a store sent chunks of two bytes without end.
+    async def test_tiny_parts_of_a_body_are_held_together(self) -> None:
+        for size in (1, 2, 100):
+            connection, transport = open_connection()
+            connection.data_received(CHUNKED)
+            chunk = b"%x\r\n" % size + b"x" * size + b"\r\n"
+            count = connection_module.HIGH_WATER_BYTES // size + 1
+            connection.data_received(chunk * count)
+            self.assertTrue(transport.pause_reading.called)
+            parts = len(connection._chunks)
+            self.assertLessEqual(parts, 2 + size * count // connection_module.JOINED_PART_BYTES)
+            connection.data_received(b"0\r\n\r\n")
+            body = b"".join([part async for part in connection.body()])
+            self.assertEqual(body, b"x" * size * count)
+
+
 class LargeAnswer(unittest.IsolatedAsyncioTestCase):
     async def test_large_body_and_head_within_the_limits_are_taken(self) -> None:
         connection, _ = open_connection()
