A settings file that isn't text is refused, and ends no process

What operators would see: a settings file that isn't UTF-8 ends the process that reads it again. Cause: UnicodeDecodeError is a ValueError and was not among the errors of a file that can't be read; seen by the review by reading. test_file_in_another_encoding_is_refused failed before (UnicodeDecodeError).

--- a/lycheepin/platform/settings.py
+++ b/lycheepin/platform/settings.py
@@ -38,7 +38,7 @@
     try:
         with open(path, "rb") as file:  # noqa: PTH123 - importing pathlib adds 10 ms to startup
             document = tomllib.load(file)
-    except (OSError, tomllib.TOMLDecodeError) as error:
+    except (OSError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
     paces_returns = os.environ.get(PACE_VARIABLE, "") == "on"
     return replace(decode_settings(document), paces_returns=paces_returns)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -55,6 +55,14 @@
                 settings = self._load(SETTINGS)
             self.assertEqual(settings.paces_returns, expected)  # type: ignore[attr-defined]
 
+    # Guards against a file that isn't text ending the process that reads it again.
+    def test_file_in_another_encoding_is_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "settings.toml"
+            path.write_bytes(SETTINGS.encode() + b"# \xff\n")
+            with self.assertRaises(SettingsError):
+                load_settings(str(path))
+
     def test_bounds_may_be_one_string_separated_by_commas(self) -> None:
         start = SETTINGS.index("bounds")
         end = SETTINGS.index("\n", start)
