A request to a service that isn't configured is refused

What callers saw: the connection ended without an answer, with a `fault` in the log, when a route goes to a service that the configuration lacks. Cause: the service was looked up when the attempt began, as if it were always there. Now it is refused at once, as not run; `lycheepin explain` says so too. test_request_to_a_service_that_is_not_configured_is_refused failed before (the connection was closed).

--- a/lycheepin/gateway/request_handler.py
+++ b/lycheepin/gateway/request_handler.py
@@ -137,6 +137,10 @@
                 return
             workspace = identified
         service = self._traffic_splitter.pick_service(route, table.version)
+        if service not in table.services:
+            await request.read_up_to(MAX_BUFFERED_BODY_BYTES)
+            self._refuse_request(request, identifier, ErrorKind.NO_CAPACITY, MIN_RETRY_AFTER_S)
+            return
         time_left_s = self._read_time_left_s(request, route)
         progress = RequestProgress(
             route,
--- a/lycheepin/steering/explaining.py
+++ b/lycheepin/steering/explaining.py
@@ -17,6 +17,7 @@
 from lycheepin.steering.progress import RequestProgress
 from lycheepin.steering.quota_bucket import ROUNDING
 from lycheepin.steering.quotas import QuotaRefusal
+from lycheepin.steering.return_times import MIN_RETRY_AFTER_S
 from lycheepin.steering.routes import Route, RoutingTable
 from lycheepin.steering.workspaces import Workspace
 
@@ -167,6 +168,8 @@
         refusal = RequestRefusal.from_kind(ErrorKind.NO_REGION, NO_REGION_RETRY_AFTER_S)
     elif quota is not None and quota.tokens < 1.0 - ROUNDING:
         refusal = RequestRefusal.from_kind(ErrorKind.QUOTA_SPENT, quota.retry_after_s)
+    elif requests.keys().isdisjoint(table.services):
+        refusal = RequestRefusal.from_kind(ErrorKind.NO_CAPACITY, MIN_RETRY_AFTER_S)
     else:
         total = sum(share.weight for share in route.shares)
         services = tuple(
@@ -174,7 +177,7 @@
                 table, dispatcher, requests[share.service], share.weight / total, now_s
             )
             for share in route.shares
-            if share.weight > 0
+            if share.weight > 0 and share.service in table.services
         )
     return RequestExplanation(
         table.version,
--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -7,6 +7,23 @@
 from tests.gateway.deployment import DeploymentCase, configuration, request
 
 
+class UnknownService(DeploymentCase):
+    # Guards against the connection of a request ending without an answer since its route goes to a
+    # service that the configuration lacks.
+    async def test_request_to_a_service_that_is_not_configured_is_refused(self) -> None:
+        document = configuration()
+        document["routes"]["order"]["service"] = "gone"
+        self.store.put("op/config", document)
+        await self.add_endpoint("a")
+        gateway = await self.add_gateway()
+        await self.wait_until_ready(gateway)
+        status, headers, _ = await self.send_request(gateway, request("/order/1", "POST"))
+        self.assertEqual(status, 503)
+        self.assertIn("retry-after", headers)
+        self.assertEqual((await self.send_request(gateway, request()))[0], 200)
+        self.assertEqual(gateway.log.counts["fault"], 0)
+
+
 class AtMostOnce(DeploymentCase):
     async def test_protected_request_is_not_retried_after_a_reset(self) -> None:
         async def reset(received: ReceivedRequest) -> bytes:
