--- a/tests/gateway/test_requests.py
+++ b/tests/gateway/test_requests.py
@@ -21,7 +21,7 @@
         self.assertEqual(status, 503)
         self.assertIn("retry-after", headers)
         self.assertEqual((await self.send_request(gateway, request()))[0], 200)
-        self.assertEqual(gateway.log.counts["fault"], 0)
+        self.assertNotIn("fault", gateway.log.counts)
 
 
 class AtMostOnce(DeploymentCase):
