Each address answers only the calls that it is for

What an outsider saw: the poll of a daemon's followers, with the keys of all workspaces in its answer, was answered on the addresses ready, directory, control and of the metrics alike. Callers reach the directory.

Cause: one handler served all four, and the path alone decided.

Change: a listener for each address with its purposes; a path of another one is 404 there (gateway/call_listeners.py). Followers and `explain` use the control address, as before.

--- a/lycheepin/decoding.py
+++ b/lycheepin/decoding.py
@@ -22,6 +22,7 @@
     "Milliseconds",
     "OptionalText",
     "Port",
+    "PositiveCount",
     "Quantity",
     "SlotCount",
     "Text",
@@ -48,6 +49,7 @@
 MAX_REASON = 200
 
 Count = Annotated[int, Meta(ge=0, le=MAX_INT)]
+PositiveCount = Annotated[int, Meta(ge=1, le=MAX_INT)]
 Text = Annotated[str, Meta(min_length=1, max_length=MAX_TEXT)]
 OptionalText = Annotated[str, Meta(max_length=MAX_TEXT)]
 Port = Annotated[int, Meta(ge=1, le=MAX_PORT)]
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -5,12 +5,13 @@
 import asyncio
 import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any, Protocol
 
 from logbook import NullHandler
 
 from lycheepin.gateway.attempt import AttemptRunner
+from lycheepin.gateway.call_listeners import CallListeners, Purpose
 from lycheepin.gateway.decisions import DecisionLog, JsonHandler
 from lycheepin.gateway.deployment_state import DeploymentState
 from lycheepin.gateway.dialect import HeaderNames
@@ -57,6 +58,7 @@
     """The platform that a gateway runs on."""
 
     header_names: HeaderNames
+    call_paths: Mapping[str, Purpose]
 
     def create_tasks(self, gateway: Gateway) -> list[Coroutine[Any, Any, None]]:
         """Returns the background tasks that keep the gateway's state up to date."""
@@ -68,7 +70,7 @@
         """Reads the settings again and applies them to the gateway."""
 
     def answer_call(self, gateway: Gateway, request: IncomingRequest) -> None:
-        """Answers a call of the platform or of an operator, or a caller's look-up."""
+        """Answers a call to one of `call_paths`, of the platform or a caller's look-up."""
 
 
 class Gateway:
@@ -77,6 +79,11 @@
     def __init__(self, settings: GatewaySettings, platform: Platform) -> None:
         self.settings = settings
         self._platform = platform
+        self._call_paths = {
+            RELAY_PATH: Purpose.CONTROL,
+            STATE_PATH: Purpose.CONTROL,
+            **platform.call_paths,
+        }
         self._loop = asyncio.get_running_loop()
         self.log = DecisionLog(settings.name, time.monotonic)
         self.metrics = Metrics()
@@ -147,7 +154,7 @@
         self._caller_listener = Listener(self._handler.handle_request, self.holdings)
         self._stop_requested = asyncio.Event()
         self._tasks: list[asyncio.Task[None]] = []
-        self._management_listener = Listener(self._answer_call, self.holdings)
+        self._call_listeners = CallListeners(settings, self.holdings, self._answer_call)
         self.record = DaemonRecord(
             settings.name,
             time.time_ns(),
@@ -175,7 +182,7 @@
         for coroutine in (
             *self._platform.create_tasks(self),
             self._caller_listener.close_expired_connections(),
-            self._management_listener.close_expired_connections(),
+            self._call_listeners.close_expired_connections(),
             self.quotas.run(),
         ):
             task = self._loop.create_task(coroutine)
@@ -190,7 +197,7 @@
         """Cancels all tasks and closes all connections immediately."""
         for task in self._tasks:
             task.cancel()
-        for listener in (self._caller_listener, self._management_listener):
+        for listener in (self._caller_listener, *self._call_listeners.by_address.values()):
             listener.stop_listening()
             for connection in list(listener.connections):
                 connection.abort()
@@ -245,9 +252,7 @@
             "caller_connections": float(len(self._caller_listener.connections)),
             "held_bytes": float(self.holdings.held_bytes),
             "endpoint_connections": float(self._pool.open_count),
-            "paused_accepts": float(
-                self._caller_listener.pauses + self._management_listener.pauses
-            ),
+            "paused_accepts": float(self._caller_listener.pauses + self._call_listeners.pauses),
             "endpoints": float(len(known_endpoints)),
             "limited_endpoints": float(self.rate_limits.count),
             "suspected_requests": float(self.suspects.count),
@@ -258,20 +263,22 @@
         }
 
     async def _open_listeners(self) -> None:
-        """Opens the sockets of both listeners."""
-        settings = self.settings
-        self._log_errors_of(self._management_listener)
-        self._log_errors_of(self._caller_listener)
-        await self._caller_listener.listen(settings.front.host, settings.front.port)
-        for address in {settings.ready, settings.directory, settings.control, settings.metrics}:
-            await self._management_listener.listen(address.host, address.port)
-
-    async def _answer_call(self, request: IncomingRequest) -> None:
-        """Answers a call of another daemon or for the state, or passes it to the platform."""
+        """Opens the sockets of all listeners."""
+        front = self.settings.front
+        for listener in (self._caller_listener, *self._call_listeners.by_address.values()):
+            self._log_errors_of(listener)
+        await self._caller_listener.listen(front.host, front.port)
+        await self._call_listeners.listen()
+
+    async def _answer_call(self, request: IncomingRequest, purposes: frozenset[Purpose]) -> None:
+        """Answers a call to an address with some purposes; 404 for a path of another one."""
         await request.read_up_to(MAX_CALL_BODY_BYTES)
-        if request.path == RELAY_PATH:
+        path = request.path
+        if self._call_paths.get(path) not in purposes:
+            request.respond(404, [], b"")
+        elif path == RELAY_PATH:
             await self._relay.answer_follower(request, self.settings.store)
-        elif request.path == STATE_PATH:
+        elif path == STATE_PATH:
             answer_state_call(
                 request,
                 self.settings.name,
@@ -345,7 +352,7 @@
         deregistration = self._loop.create_task(self._platform.deregister())
         await asyncio.sleep(drain.listens_until_s - self._loop.time())
         await self._caller_listener.close_connections(drain.ends_s)
-        await self._management_listener.close_connections(drain.ends_s)
+        await self._call_listeners.close_connections(drain.ends_s)
         deregistration.cancel()
 
 
--- a/lycheepin/platform/configurations.py
+++ b/lycheepin/platform/configurations.py
@@ -1,18 +1,16 @@
 """Decodes the platform's configuration.
 
-A field that is left out means what its default says. An empty table or list holds nothing, and a
-null is malformed: the configuration before stays in force.
+A field left out means its default, an empty table or list holds nothing, and null is malformed.
 """
 
 from __future__ import annotations
 
 import json
-from typing import Annotated
 
 import msgspec
-from msgspec import UNSET, Meta, Struct, UnsetType
+from msgspec import UNSET, Struct, UnsetType
 
-from lycheepin.decoding import Count, Quantity, Text
+from lycheepin.decoding import Count, PositiveCount, Quantity, Text
 from lycheepin.names import RegionName, ServiceName, WorkspaceName
 from lycheepin.steering.routes import (
     CallerLimits,
@@ -52,7 +50,7 @@
     traffic_split: list[_ShareFields] = []
     timeout_ms: Quantity = 0
     priority: Count = 0
-    max_attempts: Annotated[int, Meta(ge=1)] = 1
+    max_attempts: PositiveCount = 1
     session_affinity: bool = False
     home_regions: frozenset[RegionName] = frozenset()
     public: bool = False
--- a/lycheepin/platform/gateway.py
+++ b/lycheepin/platform/gateway.py
@@ -4,10 +4,11 @@
 
 import json
 import os
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from typing import Any
 from urllib.parse import parse_qs
 
+from lycheepin.gateway.call_listeners import Purpose
 from lycheepin.gateway.file_watch import watch_file
 from lycheepin.gateway.following import StoreSynchronizer
 from lycheepin.gateway.own_entries import DAEMON_PREFIX, encode_daemon, encode_suspicion
@@ -25,9 +26,11 @@
 
 __all__ = ["KvPlatform", "main"]
 
-READY_PATH = "/api/ready"
-DIRECTORY_PATH = "/api/resolve"
-METRICS_PATH = "/metrics"
+CALL_PATHS = {
+    "/api/ready": Purpose.READY,
+    "/api/resolve": Purpose.DIRECTORY,
+    "/metrics": Purpose.METRICS,
+}
 EXIT_BAD_SETTINGS = 2
 
 _JSON = [(b"Content-Type", b"application/json")]
@@ -38,6 +41,7 @@
     """The users' platform, as the interface that a gateway needs."""
 
     header_names = HEADER_NAMES
+    call_paths: Mapping[str, Purpose] = CALL_PATHS
 
     def __init__(self, settings_path: str) -> None:
         self._settings_path = settings_path
@@ -91,16 +95,14 @@
 
     def answer_call(self, gateway: Gateway, request: IncomingRequest) -> None:
         """Answers a readiness check, a directory look-up or a request for metrics."""
-        path = request.path
-        if path == READY_PATH:
-            request.respond(200 if gateway.ready else 503, [], b"")
-        elif path == DIRECTORY_PATH:
-            self._answer_directory(gateway, request)
-        elif path == METRICS_PATH:
-            text = gateway.metrics.to_prometheus(gateway.collect_gauges())
-            request.respond(200, list(_TEXT), text.encode())
-        else:
-            request.respond(404, [], b"")
+        match CALL_PATHS[request.path]:
+            case Purpose.READY:
+                request.respond(200 if gateway.ready else 503, [], b"")
+            case Purpose.DIRECTORY:
+                self._answer_directory(gateway, request)
+            case Purpose.METRICS:
+                text = gateway.metrics.to_prometheus(gateway.collect_gauges())
+                request.respond(200, list(_TEXT), text.encode())
 
     @staticmethod
     def _answer_directory(gateway: Gateway, request: IncomingRequest) -> None:
