Soak: small windows, bytes behind an answer, a configuration without workspaces

What the review used and the soak lacked. Listeners of calls take their handler's arguments in order; no change of behaviour.

--- a/lycheepin/gateway/call_listeners.py
+++ b/lycheepin/gateway/call_listeners.py
@@ -29,8 +29,8 @@
     CONTROL = "control"
 
 
-# Answers a call to an address, which has some purposes.
-CallHandler = Callable[[IncomingRequest, frozenset[Purpose]], Awaitable[None]]
+# Answers a call to an address that has some purposes.
+CallHandler = Callable[[frozenset[Purpose], IncomingRequest], Awaitable[None]]
 
 
 class CallListeners:
@@ -44,17 +44,10 @@
         for purpose in Purpose:
             purposes[getattr(settings, purpose.value)].add(purpose)
         self.by_address = {
-            address: Listener(partial(self._answer, handler, frozenset(found)), holdings)
+            address: Listener(partial(handler, frozenset(found)), holdings)
             for address, found in purposes.items()
         }
 
-    @staticmethod
-    async def _answer(
-        handler: CallHandler, purposes: frozenset[Purpose], request: IncomingRequest
-    ) -> None:
-        """Answers a call to an address with some purposes."""
-        await handler(request, purposes)
-
     @property
     def pauses(self) -> int:
         """How often a listener had to stop accepting connections."""
--- a/lycheepin/gateway/process.py
+++ b/lycheepin/gateway/process.py
@@ -270,7 +270,7 @@
         await self._caller_listener.listen(front.host, front.port)
         await self._call_listeners.listen()
 
-    async def _answer_call(self, request: IncomingRequest, purposes: frozenset[Purpose]) -> None:
+    async def _answer_call(self, purposes: frozenset[Purpose], request: IncomingRequest) -> None:
         """Answers a call to an address with some purposes; 404 for a path of another one."""
         await request.read_up_to(MAX_CALL_BODY_BYTES)
         path = request.path
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import socket
 from collections.abc import Coroutine
 from typing import Any
 
@@ -42,6 +43,11 @@
 SLOW_SEND_S, SLOW_SEND_PARTS = 0.3, 10
 # Bytes of an answer after which a caller stops reading it, and for how long in seconds.
 READ_BYTES, STOP_READING_S = 20_000, 2.5
+# Receive buffer and segments of a caller with a small window: answers are then still on their way
+# while it doesn't read. When it sends the start of its next request behind one.
+SMALL_WINDOW_BYTES, SEGMENT_BYTES = 32 * 1024, 1400
+SEND_BEHIND_S = 0.25
+START_OF_REQUEST = b"GET /read/1 HTTP/1.1\r\nHost: a.exa"
 # Fraction of the reads that are on the route without keys.
 PUBLIC_RATIO = 0.2
 # Number of objects that requests are for, each with its own affinity key.
@@ -145,7 +151,7 @@
             daemon = self._deployment.daemons[
                 random_source.choice(sorted(self._deployment.daemons))
             ]
-            connection = await connect(daemon.listener_address)
+            connection = await self._connect(daemon)
             if connection is None:
                 await asyncio.sleep(PERSISTENT_CALLER_PAUSE_S)
                 continue
@@ -156,6 +162,13 @@
             finally:
                 writer.transport.abort()
 
+    async def _connect(
+        self, daemon: Daemon
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
+        """Returns a connection to a daemon, at times with a small window; None if it fails."""
+        is_small = self._deployment.board.happens("caller.small-window")
+        return await connect(daemon.listener_address, SMALL_WINDOW_BYTES if is_small else 0)
+
     async def _send_on_new_connections(self) -> None:
         """Sends requests at a constant rate, each on a new connection."""
         while True:
@@ -169,7 +182,7 @@
         daemon = self._deployment.daemons[
             self._deployment.random.choice(sorted(self._deployment.daemons))
         ]
-        connection = await connect(daemon.listener_address)
+        connection = await self._connect(daemon)
         if connection is not None:
             reader, writer = connection
             try:
@@ -189,12 +202,18 @@
         for sent_request, _ in drawn:
             deployment.ledger.record_request(sent_request)
         content = b"".join(part for _, part in drawn)
+        sends_behind = board.happens("caller.send-behind")
+        if sends_behind and count == 1:
+            content = content.replace(b"\r\n", b"\r\nConnection: close\r\n", 1)
         sending = asyncio.ensure_future(self._send(reader, writer, content))
         try:
             if board.happens("caller.leave"):
                 await asyncio.sleep(deployment.random.random() * LEAVE_AFTER_S)
                 return False
-            if board.happens("caller.slow-read"):
+            if sends_behind:
+                await asyncio.sleep(SEND_BEHIND_S)
+                writer.write(START_OF_REQUEST)
+            if sends_behind or board.happens("caller.slow-read"):
                 await asyncio.sleep(SLOW_READ_S)
             if board.happens("caller.stop-reading"):
                 await reader.read(READ_BYTES)
@@ -205,7 +224,7 @@
                     rest = [request.identifier for request, _ in drawn[number:]]
                     deployment.ledger.record_unread(rest, sent_request.identifier)
                     return False
-            return await sending
+            return await sending and not sends_behind
         finally:
             sending.cancel()
 
@@ -312,11 +331,21 @@
 
 
 async def connect(
-    address: SocketAddress,
+    address: SocketAddress, window_bytes: int = 0
 ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter] | None:
-    """Returns a connection, or None when it fails or times out."""
+    """Returns a connection, or None when it fails or times out.
+
+    With `window_bytes` the receive buffer has that size, and no more is read ahead.
+    """
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            return await asyncio.open_connection(address.host, address.port)
+            if not window_bytes:
+                return await asyncio.open_connection(address.host, address.port)
+            connection = socket.socket()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, SEGMENT_BYTES)
+            connection.setblocking(False)
+            await asyncio.get_running_loop().sock_connect(connection, (address.host, address.port))
+            return await asyncio.open_connection(sock=connection, limit=window_bytes)
     except (OSError, TimeoutError):
         return None
--- a/soak/mutants.py
+++ b/soak/mutants.py
@@ -89,6 +89,20 @@
         'position = Position(answer.era, require_int(document["asOf"], 0, 2**40 - 1))',
         "store.high-numbers",
     ),
+    Mutant(
+        "review/8: an empty table of workspaces is none",
+        "platform/configurations.py",
+        "None if isinstance(tenants, UnsetType) else",
+        "None if isinstance(tenants, UnsetType) or not tenants else",
+        "platform.no-workspaces",
+    ),
+    Mutant(
+        "review/9: a connection closes at once behind its last answer",
+        "transport/caller_connection.py",
+        "        self._paused = False\n        self._graceful_close",
+        "        self._transport.close()\n        return\n        self._graceful_close",
+        "caller.send-behind",
+    ),
     Mutant(
         "admission: requests go to more endpoints than their route allows",
         "steering/progress.py",
--- a/soak/switching.py
+++ b/soak/switching.py
@@ -22,6 +22,8 @@
 RECORD_INTERVAL_S = 0.5
 # Longest time in seconds for which an odd entry stands under the key of an endpoint.
 ODD_ENTRY_S = 1.0
+# Time in seconds for which the table of workspaces is empty.
+EMPTIED_S = 0.5
 # Tries of a shorter list of switches before it counts as one that passes.
 TRIES = 3
 
@@ -134,12 +136,27 @@
         deployment.write_configuration()
 
 
+def _remove_workspaces(deployment: Deployment) -> None:
+    """Writes a configuration without any workspace, and after a while one with all again."""
+
+    def restore() -> None:
+        if deployment.workspaces is not None:
+            deployment.workspaces.is_emptied = False
+            deployment.write_configuration()
+
+    if deployment.workspaces is not None:
+        deployment.workspaces.is_emptied = True
+        deployment.write_configuration()
+        asyncio.get_running_loop().call_later(EMPTIED_S, restore)
+
+
 _ACTIONS: dict[str, Callable[[Deployment], None]] = {
     "writer.odd-entries": _write_odd_entry,
     "endpoint.same-id": _restart_under_same_id,
     "endpoint.cold-again": _turn_cold,
     "endpoint.silent-connections": _silence_connections,
     "platform.change-keys": _change_keys,
+    "platform.no-workspaces": _remove_workspaces,
 }
 
 
--- a/soak/workspaces.py
+++ b/soak/workspaces.py
@@ -44,6 +44,7 @@
             if number < homes * count:
                 self.homes[name] = REGIONS[number % len(REGIONS)]
         self.old_keys = [self._create_key()]
+        self.is_emptied = False
 
     def _create_key(self) -> str:
         """Returns a key that no workspace has held."""
@@ -51,8 +52,10 @@
         return f"{KEY_PREFIX}{self._key_count}"
 
     def build_table(self) -> dict[str, Any]:
-        """Returns the workspaces as a configuration has them."""
+        """Returns the workspaces as a configuration has them; none while `is_emptied` is set."""
         table: dict[str, Any] = {}
+        if self.is_emptied:
+            return table
         for number, (name, keys) in enumerate(self.keys.items()):
             table[name] = {"apiKeys": list(keys)}
             if number % 2:
